--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"dillrill/decide"
-	"dillrill/internal/wire"
+	"rowanyard/decide"
+	"rowanyard/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 // printer is the smallest Front: it prints what a real one would do.
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 // fields takes a line apart, one value at a time, and keeps the first error.
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 // Batch is what happened at one moment, in order of arrival.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 // config is the part of the start message's JSON that decisions rest on.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 const exampleConfig = `{"me":1,"n_instances":3,"zone":1,"granularity":2000,"discovery":"on_request","strange":{"a":[1]},` +
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"dillrill/decide"
+	"rowanyard/decide"
 )
 
 // Writer prints actions.
