--- /dev/null
+++ b/cmd/rowanyard/main.go
@@ -0,0 +1,158 @@
+// Command rowanyard is one real router. This file owns configuration and wiring, the limits of the
+// process and its end. It must never decide, nor speak to a client or a worker itself.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"rowanyard/internal/core"
+	"rowanyard/internal/httpfront"
+	"rowanyard/internal/wire"
+)
+
+// config is the file that ROUTER_CONFIG names.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    httpfront.List  `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+const (
+	memoryShare  = 0.7 // of the memory limit: where the collector begins to work harder
+	clientsShare = 0.55
+	workersShare = 0.35 // of the sockets; the rest is for discovery, logs and the runtime
+	defaultFiles = 1024
+	endMargin    = 500 * time.Millisecond // the program has ended so long before it would be killed
+	killMargin   = 700 * time.Millisecond // the kill comes no sooner than the longest deadline and this
+	leastEnd     = 3 * time.Second
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()}))
+	if err := run(log); err != nil {
+		fmt.Fprintln(os.Stderr, "rowanyard:", err)
+		os.Exit(1)
+	}
+}
+
+func logLevel() slog.Level {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(os.Getenv("ROWANYARD_LOG"))); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
+
+// load reads the configuration; the environment has the last word on what it names.
+func load() (config, wire.Site, uint64, error) {
+	var c config
+	fail := func(err error) (config, wire.Site, uint64, error) { return c, wire.Site{}, 0, err }
+	path := os.Getenv("ROUTER_CONFIG")
+	if path == "" {
+		return fail(errors.New("ROUTER_CONFIG is not set"))
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fail(fmt.Errorf("ROUTER_CONFIG: %w", err))
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return fail(fmt.Errorf("%s: %w", path, err))
+	}
+	for name, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*to = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fail(fmt.Errorf("%s: %s: %w", path, name, err))
+		}
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return fail(fmt.Errorf("%s: seed: %q is no hex number", path, c.Seed))
+	}
+	site, err := wire.ParseSite(c.Settings)
+	if err != nil {
+		return fail(fmt.Errorf("%s: settings: %w", path, err))
+	}
+	return c, site, seed, nil
+}
+
+func run(log *slog.Logger) error {
+	cfg, site, seed, err := load()
+	if err != nil {
+		return err
+	}
+	log = log.With("router", cfg.Name)
+	if cfg.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	}
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * cfg.Limits.MemoryMB * (1 << 20)))
+	}
+	files := cfg.Limits.Sockets
+	if files <= 0 {
+		files = defaultFiles
+	}
+	workers := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, int(workersShare*float64(files)), log)
+	c, err := core.New(site.Settings, seed, workers, log)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	names := httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames}
+	c.SetWorkers(true, names.Workers(cfg.Known, log))
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	watching, endWatch := context.WithCancel(context.Background())
+	defer endWatch()
+	go httpfront.Watch(watching, cfg.Discovery, names, cfg.Known.Seq, c, log)
+
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	front := httpfront.New(c, workers, site.ClassNames, log)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener, int(clientsShare*float64(files))) }()
+	log.Info("serving", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
+
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	longest := leastEnd
+	for _, k := range site.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	log.Info("draining", "for_at_most", longest.String())
+	end, cancel := context.WithTimeout(context.Background(), longest+killMargin-endMargin)
+	defer cancel()
+	front.Shutdown(end)
+	c.Wait(end)
+	log.Info("ended")
+	return nil
+}
--- /dev/null
+++ b/internal/httpfront/front.go
@@ -0,0 +1,379 @@
+// Package httpfront is the platform's protocol: HTTP/1.1 with clients and workers, and the watch on
+// discovery. This file owns the side of the clients: reading a request's head into the values that
+// the core knows, and passing a worker's stream on unchanged.
+//
+// It must never decide anything about a request, send one again, or hold back a final answer; all
+// of that is the core's. It must never change what a client or a worker sent.
+package httpfront
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+)
+
+// Limits of what clients may send and hold.
+const (
+	maxBody     = 256 << 10
+	maxBodies   = 40 << 20 // bytes of bodies held at once; past it new requests are refused
+	maxHead     = 16 << 10
+	maxTokens   = 1 << 30
+	headTime    = 10 * time.Second // to send a request's head, and again its body
+	idleTime    = 60 * time.Second // a client's connection may stand idle so long
+	busyAgain   = 250 * time.Millisecond
+	copyBuffer  = 8 << 10
+	pathReady   = "/health/ready"
+	headTxn     = "X-Txn"
+	headLeft    = "X-Remaining-Ms"
+	statusFail  = http.StatusBadGateway
+	closeAfter  = 600 * time.Millisecond // after SIGTERM connections still arrive for so long
+	closePoll   = 20 * time.Millisecond
+	writeMargin = 30 * time.Second // a client that takes nothing for so long is let go
+)
+
+// Front serves clients.
+type Front struct {
+	core    *core.Core
+	workers *Workers
+	classes map[string]int
+	log     *slog.Logger
+	proxy   *httputil.ReverseProxy
+	server  *http.Server
+	bodies  atomic.Int64
+	ready   atomic.Bool
+	active  sync.WaitGroup
+}
+
+// New returns a Front that serves the classes with the given names, in the order of their numbers.
+func New(c *core.Core, w *Workers, classNames []string, logger *slog.Logger) *Front {
+	f := &Front{core: c, workers: w, classes: make(map[string]int), log: logger}
+	for i, name := range classNames {
+		f.classes[name] = i
+	}
+	quiet := log.New(slogWriter{logger}, "", 0)
+	f.proxy = &httputil.ReverseProxy{
+		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
+		Transport:     roundTripper{f},
+		FlushInterval: -1, // every event as it comes
+		BufferPool:    &bufferPool{},
+		ErrorLog:      quiet,
+		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
+			if r.Context().Err() == nil {
+				f.log.Error("no answer from the core", "err", err)
+			}
+			w.WriteHeader(statusFail)
+		},
+	}
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+		MaxHeaderBytes: maxHead, ErrorLog: quiet}
+	return f
+}
+
+// Serve serves clients on l, at most maxConns at once, until Shutdown.
+func (f *Front) Serve(l net.Listener, maxConns int) error {
+	f.ready.Store(true)
+	err := f.server.Serve(netutil.LimitListener(l, maxConns))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown ends the front in good order: it answers what has come and what still comes for a
+// while, ends idle connections at once, and cuts the streams that still run when ctx ends.
+func (f *Front) Shutdown(ctx context.Context) {
+	f.ready.Store(false)
+	// Connections between two requests are ended now; the others are when their answer is out.
+	f.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(closeAfter):
+	case <-ctx.Done():
+	}
+	if err := f.server.Shutdown(ctx); err != nil {
+		f.log.Warn("streams cut at the end", "err", err)
+		f.server.Close()
+	}
+}
+
+// ServeHTTP takes one request from a client.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathReady && r.Method == http.MethodGet {
+		if !f.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	if r.Method != http.MethodPost {
+		http.Error(w, "no such page", http.StatusNotFound)
+		return
+	}
+	if f.bodies.Add(maxBody) > maxBodies { // guards the memory limit against many large bodies at once
+		f.bodies.Add(-maxBody)
+		refuse(w.Header(), busyAgain)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	reserved := int64(maxBody)
+	defer func() { f.bodies.Add(-reserved) }()
+	body, status, err := readBody(w, r)
+	if err == nil {
+		f.bodies.Add(int64(len(body)) - maxBody)
+		reserved = int64(len(body))
+	}
+	var q decide.Request
+	if err == nil {
+		q, status, err = f.parse(r.Header, body)
+	}
+	if err != nil {
+		f.log.Info("bad request", "status", status, "err", err)
+		http.Error(w, err.Error(), status)
+		return
+	}
+	x := &exchange{front: f, method: r.Method, uri: r.URL.RequestURI(), head: r.Header, body: body}
+	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q}))
+	f.proxy.ServeHTTP(w, r)
+}
+
+func refuse(h http.Header, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(headTime))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	var buf bytes.Buffer
+	if n := r.ContentLength; n > 0 && n <= maxBody {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, http.StatusRequestEntityTooLarge, err
+	case err != nil:
+		return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
+	}
+	return buf.Bytes(), 0, nil
+}
+
+// parse reads a request's head and checks its body. What is malformed is told to the client and
+// nothing is sent for it.
+func (f *Front) parse(h http.Header, body []byte) (decide.Request, int, error) {
+	q, err := f.parseHead(h)
+	if err != nil {
+		return q, http.StatusBadRequest, err
+	}
+	var b struct {
+		Model    *string           `json:"model"`
+		Stream   *bool             `json:"stream"`
+		Max      *float64          `json:"max_tokens"`
+		Messages []json.RawMessage `json:"messages"`
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return q, http.StatusBadRequest, fmt.Errorf("body: %w", err)
+	}
+	if q.MaxOutput == 0 && b.Max != nil && *b.Max > 0 && *b.Max <= maxTokens {
+		q.MaxOutput = int(*b.Max)
+	}
+	return q, 0, nil
+}
+
+// parseHead reads the values that decisions rest on from a request's head.
+func (f *Front) parseHead(h http.Header) (decide.Request, error) {
+	var q decide.Request
+	if id := h.Get(headTxn); !validID(id) {
+		return q, fmt.Errorf("%s: %q", headTxn, id)
+	}
+	class, ok := f.classes[h.Get("X-Lane")]
+	if !ok {
+		return q, fmt.Errorf("X-Lane: unknown class %q", h.Get("X-Lane"))
+	}
+	q.Class = class
+	left, err := strconv.ParseInt(h.Get(headLeft), 10, 64)
+	if err != nil || left < 0 || left > math.MaxInt32 {
+		return q, fmt.Errorf("%s: %q", headLeft, h.Get(headLeft))
+	}
+	q.TimeLeft = time.Duration(left) * time.Millisecond
+	if q.Session, err = key(h.Get("X-Entity")); err != nil {
+		return q, fmt.Errorf("X-Entity: %w", err)
+	}
+	switch v := h.Get("X-Resent"); v {
+	case "":
+	case "1":
+		q.Repeat = true
+	case "again":
+		q.Repeat, q.Resumed = true, true
+	default:
+		return q, fmt.Errorf("X-Resent: %q", v)
+	}
+	if v := h.Get("X-Estimate"); v != "" {
+		us, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(us >= 0 && us <= math.MaxInt32*1e3) {
+			return q, fmt.Errorf("X-Estimate: %q", v)
+		}
+		q.Hint = time.Duration(us * float64(time.Microsecond))
+	}
+	return q, labels(&q, h.Get("X-Labels"))
+}
+
+// labels reads the pairs of X-Labels. Labels that it does not know are passed over.
+func labels(q *decide.Request, text string) error {
+	if text == "" {
+		return nil
+	}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return fmt.Errorf("X-Labels: %q", pair)
+		}
+		var err error
+		switch name {
+		case "prefix":
+			q.Prefix, err = key(value)
+		case "prompt_len":
+			q.Prompt, err = tokens(value)
+		case "prefix_len":
+			q.PrefixLen, err = tokens(value)
+		case "max_out":
+			q.MaxOutput, err = tokens(value)
+		}
+		if err != nil {
+			return fmt.Errorf("X-Labels: %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func tokens(text string) (int, error) {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= 0 && n <= maxTokens) {
+		return 0, fmt.Errorf("not a count of tokens: %q", text)
+	}
+	return int(n), nil
+}
+
+// key reads a key of up to 16 hex digits; none is 0.
+func key(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	k, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("not a key: %q", text)
+	}
+	return k, nil
+}
+
+// validID says that an id can stand in a head and in a path as it is.
+func validID(id string) bool {
+	if id == "" || len(id) > 64 {
+		return false
+	}
+	for _, b := range []byte(id) {
+		if !(b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '-' || b == '_') {
+			return false
+		}
+	}
+	return true
+}
+
+type exchangeKey struct{}
+
+// taken is a request that the handler has read, on its way to RoundTrip.
+type taken struct {
+	x *exchange
+	q decide.Request
+}
+
+// roundTripper hands a request to the core and makes a response of its final answer.
+type roundTripper struct{ f *Front }
+
+func (t roundTripper) RoundTrip(out *http.Request) (*http.Response, error) {
+	got, ok := out.Context().Value(exchangeKey{}).(taken)
+	if !ok {
+		return nil, errors.New("a request that the handler has not read")
+	}
+	a := t.f.core.Serve(out.Context(), got.q, got.x)
+	res := &http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: out,
+		Header: http.Header{}, Body: http.NoBody}
+	switch a.Verdict {
+	case core.Streaming:
+		s := a.Stream.(*stream)
+		res.StatusCode, res.Header, res.ContentLength = http.StatusOK, s.res.Header.Clone(), -1
+		res.Header.Del("Content-Length")
+		res.Body = &relay{s, a.Ended}
+	case core.Refused:
+		res.StatusCode = http.StatusServiceUnavailable
+		refuse(res.Header, a.RetryAfter)
+	case core.Gone:
+		return nil, context.Canceled
+	default:
+		res.StatusCode = statusFail
+	}
+	return res, nil
+}
+
+// relay passes a worker's stream on and tells the core how it ended. A stream that breaks is an
+// error here, on which the proxy ends the client's connection without the last chunk.
+type relay struct {
+	*stream
+	ended func(decide.Status)
+}
+
+func (r *relay) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	switch {
+	case err == io.EOF:
+		r.ended(decide.Served)
+	case err != nil:
+		r.ended(decide.Reset)
+	}
+	return n, err
+}
+
+func (r *relay) Close() error {
+	r.ended(decide.Cancelled) // the client has gone, if the stream has not ended before
+	return r.stream.Close()
+}
+
+// bufferPool bounds what copying the streams takes.
+type bufferPool struct{ pool sync.Pool }
+
+func (b *bufferPool) Get() []byte {
+	if p, ok := b.pool.Get().(*[]byte); ok {
+		return *p
+	}
+	return make([]byte, copyBuffer)
+}
+
+func (b *bufferPool) Put(p []byte) { b.pool.Put(&p) }
+
+// slogWriter turns the libraries' own log lines into ours.
+type slogWriter struct{ log *slog.Logger }
+
+func (w slogWriter) Write(p []byte) (int, error) {
+	w.log.Debug("http", "line", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,22 +12,24 @@
 // config is the part of the start message's JSON that decisions rest on.
 // Unknown keys are skipped.
 type config struct {
-	Me         float64 `json:"me"`
-	Instances  float64 `json:"n_instances"`
-	Zone       float64 `json:"zone"`
-	Tick       float64 `json:"granularity"`
-	Discovery  string  `json:"discovery"`
-	OverShare  float64 `json:"over_share_worth"`
-	Classes    []class `json:"request_classes"`
-	Parties    []party `json:"parties"`
-	HostTypes  []any   `json:"host_types"`
-	Domain     domain  `json:"domain"`
-	Limits     limits  `json:"limits"`
-	Report     report  `json:"report"`
-	ServerRule rules   `json:"rules"`
+	Me         float64  `json:"me"`
+	Instances  float64  `json:"n_instances"`
+	Zone       float64  `json:"zone"`
+	Tick       float64  `json:"granularity"`
+	Discovery  string   `json:"discovery"`
+	OverShare  float64  `json:"over_share_worth"`
+	Classes    []class  `json:"request_classes"`
+	Parties    []party  `json:"parties"`
+	HostTypes  []string `json:"host_types"`
+	Zones      []string `json:"zones"`
+	Domain     domain   `json:"domain"`
+	Limits     limits   `json:"limits"`
+	Report     report   `json:"report"`
+	ServerRule rules    `json:"rules"`
 }
 
 type class struct {
+	Name       string  `json:"name"`
 	Credit     float64 `json:"credit"`
 	DedupScope string  `json:"dedup_scope"`
 	Effect     string  `json:"effect"`
@@ -51,9 +53,13 @@
 }
 
 type limits struct {
-	Cancelling bool    `json:"cancelling"`
-	SendCap    float64 `json:"send_cap"`
-	Probing    bool    `json:"probing"`
+	Cancelling     bool    `json:"cancelling"`
+	SendCap        float64 `json:"send_cap"`
+	Probing        bool    `json:"probing"`
+	ConnIdle       float64 `json:"conn_idle"`
+	ConnectTimeout float64 `json:"connect_timeout"`
+	MaxRetryAfter  float64 `json:"max_retry_after"`
+	RetryAfter     bool    `json:"retry_after"`
 }
 
 type report struct {
@@ -75,12 +81,39 @@
 	scopes = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
 )
 
+// Site is what a real router reads from the settings beside what decisions rest on: the names on
+// its sockets, in the order of the numbers that package decide uses, and the limits of connections.
+type Site struct {
+	decide.Settings
+	ClassNames, KindNames, ZoneNames []string
+	ConnIdle, ConnectTimeout         time.Duration
+}
+
+// ParseSite reads the settings for a real router.
+func ParseSite(text []byte) (Site, error) {
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return Site{}, err
+	}
+	set, err := settings(c)
+	s := Site{Settings: set, KindNames: c.HostTypes, ZoneNames: c.Zones,
+		ConnIdle: micros(c.Limits.ConnIdle), ConnectTimeout: micros(c.Limits.ConnectTimeout)}
+	for _, k := range c.Classes {
+		s.ClassNames = append(s.ClassNames, k.Name)
+	}
+	return s, err
+}
+
 // parseSettings reads the start message's JSON.
 func parseSettings(text string) (decide.Settings, error) {
 	var c config
 	if err := json.Unmarshal([]byte(text), &c); err != nil {
 		return decide.Settings{}, err
 	}
+	return settings(c)
+}
+
+func settings(c config) (decide.Settings, error) {
 	s := decide.Settings{
 		Front: int(c.Me), Fronts: int(c.Instances), Zone: int(c.Zone),
 		OverShareWorth: c.OverShare,
