--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -1,8 +1,12 @@
 // Command rowanyard is one real router. This file owns configuration and wiring, the limits of the
 // process and its end. It must never decide, nor speak to a client or a worker itself.
+//
+// The platform's file is named by ROUTER_CONFIG. An operator's own, which turns the second front on,
+// is named by ROWANYARD_OPERATOR (see deploy/operator.json); without it only the platform's port is open.
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,7 +22,10 @@
 	"syscall"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/wire"
 )
@@ -43,11 +50,58 @@
 	clientsShare = 0.55
 	workersShare = 0.35 // of the sockets; the rest is for discovery, logs and the runtime
 	defaultFiles = 1024
+	defaultOpen  = 256
 	endMargin    = 500 * time.Millisecond // the program has ended so long before it would be killed
 	killMargin   = 700 * time.Millisecond // the kill comes no sooner than the longest deadline and this
 	leastEnd     = 3 * time.Second
 )
 
+// operator is the file that ROWANYARD_OPERATOR names.
+type operator struct {
+	GRPC struct {
+		Listen      string   `json:"listen"`
+		WorkerHosts []string `json:"worker_hosts"` // workers that speak gRPC, "*" = all of them
+		MaxOpen     int      `json:"max_open"`     // calls open at once
+	} `json:"grpc"`
+}
+
+// wire says how a worker is spoken to.
+func (o operator) wire(e httpfront.Entry) string {
+	for _, h := range o.GRPC.WorkerHosts {
+		if h == "*" || h == e.Host {
+			return grpcfront.Wire
+		}
+	}
+	return ""
+}
+
+func loadOperator() (operator, error) {
+	o := operator{}
+	o.GRPC.MaxOpen = defaultOpen
+	path := os.Getenv("ROWANYARD_OPERATOR")
+	if path == "" {
+		return o, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return o, fmt.Errorf("ROWANYARD_OPERATOR: %w", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields() // a misspelt key would leave a front off in silence
+	if err := d.Decode(&o); err != nil {
+		return o, fmt.Errorf("%s: %w", path, err)
+	}
+	if o.GRPC.Listen != "" {
+		if _, _, err := net.SplitHostPort(o.GRPC.Listen); err != nil {
+			return o, fmt.Errorf("%s: grpc.listen: %w", path, err)
+		}
+	}
+	if o.GRPC.MaxOpen < 1 {
+		return o, fmt.Errorf("%s: grpc.max_open: %d", path, o.GRPC.MaxOpen)
+	}
+	return o, nil
+}
+
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()}))
 	if err := run(log); err != nil {
@@ -105,6 +159,10 @@
 	if err != nil {
 		return err
 	}
+	op, err := loadOperator()
+	if err != nil {
+		return err
+	}
 	log = log.With("router", cfg.Name)
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
@@ -117,11 +175,13 @@
 		files = defaultFiles
 	}
 	workers := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, int(workersShare*float64(files)), log)
-	c, err := core.New(site.Settings, seed, workers, log)
+	grpcWorkers := grpcfront.NewWorkers(site.ConnectTimeout, site.ConnIdle)
+	defer grpcWorkers.Close()
+	c, err := core.New(site.Settings, seed, grpcfront.Prober{HTTP: workers, GRPC: grpcWorkers}, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	names := httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames}
+	names := httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames, Wire: op.wire}
 	c.SetWorkers(true, names.Workers(cfg.Known, log))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -135,7 +195,20 @@
 		return err
 	}
 	front := httpfront.New(c, workers, site.ClassNames, log)
-	served := make(chan error, 1)
+	if len(op.GRPC.WorkerHosts) > 0 {
+		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
+	}
+	served := make(chan error, 2)
+	var second *grpc.Server
+	if op.GRPC.Listen != "" {
+		l, err := net.Listen("tcp", op.GRPC.Listen)
+		if err != nil {
+			return fmt.Errorf("grpc.listen: %w", err)
+		}
+		second = grpcfront.NewServer(c, grpcWorkers, workers, site.ClassNames, op.GRPC.MaxOpen, log).GRPC()
+		go func() { served <- second.Serve(l) }()
+		log.Info("serving gRPC", "listen", l.Addr().String())
+	}
 	go func() { served <- front.Serve(listener, int(clientsShare*float64(files))) }()
 	log.Info("serving", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
 
@@ -151,7 +224,16 @@
 	log.Info("draining", "for_at_most", longest.String())
 	end, cancel := context.WithTimeout(context.Background(), longest+killMargin-endMargin)
 	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		if second != nil {
+			defer context.AfterFunc(end, second.Stop)() // cuts the streams that still run
+			second.GracefulStop()
+		}
+	}()
 	front.Shutdown(end)
+	<-drained
 	c.Wait(end)
 	log.Info("ended")
 	return nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 type Worker struct {
 	decide.Server
 	Addr string
+	Wire string // how the worker is spoken to, for the carriers; the core does not look at it
 }
 
 // Attempt is one send of a request to a worker.
--- /dev/null
+++ b/internal/grpcfront/front_test.go
@@ -0,0 +1,306 @@
+package grpcfront_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront"
+	"rowanyard/internal/grpcfront/pb"
+	"rowanyard/internal/httpfront"
+	"rowanyard/internal/standin"
+	"rowanyard/internal/wire"
+)
+
+// router is a whole router in this process, with both fronts before one core.
+type router struct {
+	fleet *standin.Fleet
+	core  *core.Core
+	grpc  pb.CompletionsClient
+	http  string
+	ids   atomic.Int64
+}
+
+func start(t testing.TB, o standin.Options) *router {
+	t.Helper()
+	must := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	log := slog.New(slog.DiscardHandler)
+	fleet, err := standin.Start(o)
+	must(err)
+	t.Cleanup(fleet.Close)
+	site, err := wire.ParseSite(standin.Settings())
+	must(err)
+	hw := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, 400, log)
+	gw := grpcfront.NewWorkers(site.ConnectTimeout, site.ConnIdle)
+	t.Cleanup(gw.Close)
+	c, err := core.New(site.Settings, 1, grpcfront.Prober{HTTP: hw, GRPC: gw}, log)
+	must(err)
+	names := httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames, Wire: func(httpfront.Entry) string {
+		if o.GRPC {
+			return grpcfront.Wire
+		}
+		return ""
+	}}
+	var list httpfront.List
+	text, _ := json.Marshal(map[string]any{"hosts": fleet.Hosts()})
+	must(json.Unmarshal(text, &list))
+	c.SetWorkers(true, names.Workers(list, log))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	server := grpcfront.NewServer(c, gw, hw, site.ClassNames, 200, log).GRPC()
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+	must(err)
+	t.Cleanup(func() { conn.Close() })
+
+	front := httpfront.New(c, hw, site.ClassNames, log)
+	front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: gw.Bridge}
+	plain := httptest.NewServer(front)
+	t.Cleanup(plain.Close)
+	return &router{fleet: fleet, core: c, grpc: pb.NewCompletionsClient(conn), http: plain.URL}
+}
+
+func (r *router) request(class, key string, within time.Duration) *pb.CompleteRequest {
+	n := r.ids.Add(1)
+	return &pb.CompleteRequest{Id: fmt.Sprintf("id-%d", n), Class: class, Session: uint64(n), PromptTokens: 40,
+		MaxOutputTokens: 10, FirstTokenWithin: durationpb.New(within), Messages: []*pb.Message{{Role: "user", Content: key}}}
+}
+
+// complete makes one call and returns its text and its one final status.
+func (r *router) complete(ctx context.Context, req *pb.CompleteRequest) (string, error) {
+	s, err := r.grpc.Complete(ctx, req)
+	if err != nil {
+		return "", err
+	}
+	var text strings.Builder
+	for {
+		c, err := s.Recv()
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(c.Content)
+	}
+}
+
+// settled waits until nothing is left to do for any request.
+func (r *router) settled(t testing.TB) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	r.core.Wait(ctx)
+	if ctx.Err() != nil {
+		t.Fatal("requests never settle")
+	}
+	if n := r.fleet.Held(); n > 0 {
+		t.Errorf("%d states are still held", n)
+	}
+}
+
+func eachWire(t *testing.T, test func(t *testing.T, grpc bool)) {
+	t.Run("grpc workers", func(t *testing.T) { test(t, true) })
+	t.Run("http workers", func(t *testing.T) { test(t, false) })
+}
+
+func TestTokensFromBothClientsAndBothWorkers(t *testing.T) {
+	eachWire(t, func(t *testing.T, grpc bool) {
+		r := start(t, standin.Options{GRPC: grpc, Tokens: 3})
+		text, err := r.complete(context.Background(), r.request("send-message", "k", time.Second))
+		if text != "t0 t1 t2 " || err != nil {
+			t.Errorf("grpc client: %q, %v", text, err)
+		}
+		req, _ := http.NewRequest(http.MethodPost, r.http+"/v1/chat/completions", strings.NewReader(
+			`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"user","content":"k2"}]}`))
+		for k, v := range map[string]string{"X-Txn": "ab12", "X-Lane": "draft-reply", "X-Remaining-Ms": "1000", "X-Labels": "prompt_len=40"} {
+			req.Header.Set(k, v)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		for _, want := range []string{`"content":"t2 "`, `"finish_reason":"stop"`, `"completion_tokens":3`, "data: [DONE]\n\n"} {
+			if !strings.Contains(string(body), want) {
+				t.Errorf("http client: %d %v, no %s in %q", res.StatusCode, err, want, body)
+			}
+		}
+		r.settled(t)
+	})
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	r := start(t, standin.Options{GRPC: true, Behave: func(stage, _ string, _ int) standin.Fault { return standin.TurnAway }})
+	_, err := r.complete(context.Background(), r.request("send-message", "k", 300*time.Millisecond))
+	st := status.Convert(err)
+	if st.Code() != codes.Unavailable {
+		t.Fatal(err)
+	}
+	for _, d := range st.Details() {
+		if info, ok := d.(*errdetails.RetryInfo); ok && info.RetryDelay.AsDuration() <= 500*time.Millisecond {
+			return
+		}
+	}
+	t.Errorf("no RetryInfo in %v", st.Details())
+}
+
+// A client must not be invited to send a message again that may have gone out.
+func TestFailureThatMayHaveRunInvitesNoRetry(t *testing.T) {
+	eachWire(t, func(t *testing.T, grpc bool) {
+		for _, f := range []standin.Fault{standin.ResetEarly, standin.Error, standin.Hang} {
+			r := start(t, standin.Options{GRPC: grpc, Writers: 2, Behave: func(stage, _ string, _ int) standin.Fault {
+				if stage == "write" {
+					return f
+				}
+				return standin.None
+			}})
+			_, err := r.complete(context.Background(), r.request("send-message", "k", 400*time.Millisecond))
+			if c := status.Code(err); c != codes.Internal {
+				t.Errorf("fault %d: %v", f, err)
+			}
+			if n := r.fleet.Calls("write", "k"); n != 1 {
+				t.Errorf("fault %d: written %d times", f, n)
+			}
+			r.settled(t)
+		}
+	})
+}
+
+func TestBadRequestsAreToldAndNeverSent(t *testing.T) {
+	r := start(t, standin.Options{GRPC: true})
+	for _, spoil := range []func(*pb.CompleteRequest){
+		func(q *pb.CompleteRequest) { q.Id = "a/b" }, func(q *pb.CompleteRequest) { q.Class = "none" },
+		func(q *pb.CompleteRequest) { q.PromptTokens = -1 }, func(q *pb.CompleteRequest) { q.FirstTokenWithin = nil },
+		func(q *pb.CompleteRequest) { q.Estimate = durationpb.New(-1) },
+	} {
+		req := r.request("draft-reply", "bad", time.Second)
+		spoil(req)
+		if _, err := r.complete(context.Background(), req); status.Code(err) != codes.InvalidArgument {
+			t.Error(err)
+		}
+	}
+	if n := r.fleet.Calls("read", "bad"); n != 0 {
+		t.Errorf("%d were sent", n)
+	}
+}
+
+func TestClientThatCancelsMidStreamGetsOneFinalAnswer(t *testing.T) {
+	eachWire(t, func(t *testing.T, grpc bool) {
+		r := start(t, standin.Options{GRPC: grpc, Tokens: 4, Behave: func(stage, _ string, _ int) standin.Fault { return standin.Stop }})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s, err := r.grpc.Complete(ctx, r.request("send-message", "k", time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Recv(); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		finals := 0
+		for err == nil {
+			if _, err = s.Recv(); err != nil {
+				finals++
+			}
+		}
+		if status.Code(err) != codes.Canceled || finals != 1 {
+			t.Errorf("%d final answers, the last %v", finals, err)
+		}
+		r.settled(t)
+		if n := r.fleet.Effects()["send-message k"]; n != 1 {
+			t.Errorf("%d effects", n)
+		}
+	})
+}
+
+// The run that the brief asks for: streams reset at random, from a fixed seed, and no send-message
+// may have its effect twice. Clients come back after refusals only, as the protocol lets them.
+func TestRandomResetsRepeatNoEffect(t *testing.T) {
+	eachWire(t, func(t *testing.T, grpc bool) {
+		r := start(t, standin.Options{GRPC: grpc, Readers: 3, Writers: 4, Tokens: 4,
+			Behave: standin.Random(7, 0.06, standin.ResetEarly, standin.ResetLate, standin.Error, standin.TurnAway)})
+		const clients, each, tries = 16, 25, 3
+		var served, refused, failed, finals atomic.Int64
+		var all sync.WaitGroup
+		for c := range clients {
+			all.Go(func() {
+				for i := range each {
+					class := [...]string{"send-message", "draft-reply"}[i%2]
+					key := fmt.Sprintf("m-%d-%d", c, i)
+					for range tries {
+						text, err := r.complete(context.Background(), r.request(class, key, 2*time.Second))
+						finals.Add(1)
+						if status.Code(err) == codes.Unavailable {
+							refused.Add(1)
+							continue
+						}
+						if err == nil {
+							served.Add(1)
+							if text != "t0 t1 t2 t3 " {
+								t.Errorf("%s: a stream that is not whole ended well: %q", key, text)
+							}
+						} else {
+							failed.Add(1)
+						}
+						break
+					}
+				}
+			})
+		}
+		all.Wait()
+		r.settled(t)
+		for key, n := range r.fleet.Effects() {
+			if n > 1 && strings.HasPrefix(key, "send-message ") {
+				t.Errorf("%s ran %d times", key, n)
+			}
+		}
+		t.Logf("%d calls: %d served, %d refused, %d failed", finals.Load(), served.Load(), refused.Load(), failed.Load())
+		if served.Load() < clients*each/2 || failed.Load() == 0 {
+			t.Error("the run did not meet what it is for")
+		}
+	})
+}
+
+// Guards against grpc-go's own resend of calls that a server says it has not processed.
+func TestRefusedStreamIsNotSentAgainByTheLibrary(t *testing.T) {
+	r := start(t, standin.Options{GRPC: true, Behave: func(stage, _ string, _ int) standin.Fault {
+		if stage == "write" {
+			return standin.ResetEarly
+		}
+		return standin.None
+	}})
+	for i := range 20 {
+		key := fmt.Sprintf("k%d", i)
+		r.complete(context.Background(), r.request("send-message", key, time.Second))
+		if n := r.fleet.Calls("write", key); n > 1 {
+			t.Fatalf("written %d times", n)
+		}
+	}
+}
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -50,7 +50,10 @@
 }
 
 // Names are the deployment's names in the order of their numbers.
-type Names struct{ Kinds, Zones []string }
+type Names struct {
+	Kinds, Zones []string
+	Wire         func(Entry) string // how a worker is spoken to; nil: all by HTTP
+}
 
 var states = map[string]decide.ServerState{"up": decide.Ready, "draining": decide.Draining, "removed": decide.Gone}
 
@@ -64,7 +67,11 @@
 			return core.Worker{}, fmt.Errorf("entry %+v", e)
 		}
 	}
-	return core.Worker{Addr: e.Dial, Server: decide.Server{ID: e.Host, State: state, Kind: kind, Cell: e.Block,
+	spoken := ""
+	if n.Wire != nil {
+		spoken = n.Wire(e)
+	}
+	return core.Worker{Addr: e.Dial, Wire: spoken, Server: decide.Server{ID: e.Host, State: state, Kind: kind, Cell: e.Block,
 		Zone: zone, Weight: e.Share, Since: time.Duration(e.BornMs * float64(time.Millisecond))}}, nil
 }
 
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -42,6 +42,7 @@
 	busyAgain   = 250 * time.Millisecond
 	copyBuffer  = 8 << 10
 	pathReady   = "/health/ready"
+	PathChat    = "/v1/chat/completions"
 	headTxn     = "X-Txn"
 	headLeft    = "X-Remaining-Ms"
 	statusFail  = http.StatusBadGateway
@@ -50,8 +51,21 @@
 	writeMargin = 30 * time.Second // a client that takes nothing for so long is let go
 )
 
+// Stream is what an Answer of this front streams: a worker's events as they stand on the wire.
+type Stream interface {
+	io.ReadCloser
+	Header() http.Header
+}
+
+// Bridge carries a client's request to workers that speak another wire. The streams of its results
+// are of type Stream.
+type Bridge func(q decide.Request, id, class string, body []byte) core.Carrier
+
 // Front serves clients.
 type Front struct {
+	// Bridges has a way to the workers of each other wire. Set before Serve.
+	Bridges map[string]Bridge
+
 	core    *core.Core
 	workers *Workers
 	classes map[string]int
@@ -148,7 +162,10 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	x := &exchange{front: f, method: r.Method, uri: r.URL.RequestURI(), head: r.Header, body: body}
+	x := &Exchange{Workers: f.workers, Method: r.Method, URI: r.URL.RequestURI(), Head: r.Header, Body: body}
+	for wire, bridge := range f.Bridges {
+		x.others = append(x.others, other{wire, bridge(q, r.Header.Get(headTxn), r.Header.Get("X-Lane"), body)})
+	}
 	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q}))
 	f.proxy.ServeHTTP(w, r)
 }
@@ -203,7 +220,7 @@
 // parseHead reads the values that decisions rest on from a request's head.
 func (f *Front) parseHead(h http.Header) (decide.Request, error) {
 	var q decide.Request
-	if id := h.Get(headTxn); !validID(id) {
+	if id := h.Get(headTxn); !ValidID(id) {
 		return q, fmt.Errorf("%s: %q", headTxn, id)
 	}
 	class, ok := f.classes[h.Get("X-Lane")]
@@ -286,8 +303,8 @@
 	return k, nil
 }
 
-// validID says that an id can stand in a head and in a path as it is.
-func validID(id string) bool {
+// ValidID says that an id can stand in a head and in a path as it is.
+func ValidID(id string) bool {
 	if id == "" || len(id) > 64 {
 		return false
 	}
@@ -303,7 +320,7 @@
 
 // taken is a request that the handler has read, on its way to RoundTrip.
 type taken struct {
-	x *exchange
+	x *Exchange
 	q decide.Request
 }
 
@@ -320,8 +337,8 @@
 		Header: http.Header{}, Body: http.NoBody}
 	switch a.Verdict {
 	case core.Streaming:
-		s := a.Stream.(*stream)
-		res.StatusCode, res.Header, res.ContentLength = http.StatusOK, s.res.Header.Clone(), -1
+		s := a.Stream.(Stream)
+		res.StatusCode, res.Header, res.ContentLength = http.StatusOK, s.Header().Clone(), -1
 		res.Header.Del("Content-Length")
 		res.Body = &relay{s, a.Ended}
 	case core.Refused:
@@ -338,12 +355,12 @@
 // relay passes a worker's stream on and tells the core how it ended. A stream that breaks is an
 // error here, on which the proxy ends the client's connection without the last chunk.
 type relay struct {
-	*stream
+	Stream
 	ended func(decide.Status)
 }
 
 func (r *relay) Read(p []byte) (int, error) {
-	n, err := r.stream.Read(p)
+	n, err := r.Stream.Read(p)
 	switch {
 	case err == io.EOF:
 		r.ended(decide.Served)
@@ -355,7 +372,7 @@
 
 func (r *relay) Close() error {
 	r.ended(decide.Cancelled) // the client has gone, if the stream has not ended before
-	return r.stream.Close()
+	return r.Stream.Close()
 }
 
 // bufferPool bounds what copying the streams takes.
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -28,7 +28,7 @@
 const (
 	idleShare   = 0.6             // idle connections close after this share of the workers' limit
 	idlePerHost = 96              // idle connections kept to a worker
-	stallLimit  = 4 * time.Second // a stream without an event for so long is broken
+	StallLimit  = 4 * time.Second // a stream without an event for so long is broken
 	answerLimit = 64 << 10        // bytes read of an answer that is no stream
 	pathHolds   = "/v1/holds/"
 	pathStats   = "/stats"
@@ -82,13 +82,19 @@
 	return c.Conn.Close()
 }
 
-// exchange is one client's request as this front carries it. It is a core.Carrier.
-type exchange struct {
-	front  *Front
-	method string
-	uri    string
-	head   http.Header
-	body   []byte
+// Exchange is one client's request as it is sent to workers over HTTP. It is a core.Carrier.
+type Exchange struct {
+	Workers     *Workers
+	Method, URI string
+	Head        http.Header
+	Body        []byte
+	others      []other
+}
+
+// other carries the request to the workers of another wire.
+type other struct {
+	wire string
+	core.Carrier
 }
 
 // bodyReader gives a request's body to the transport once. It is no type that net/http knows how
@@ -116,9 +122,14 @@
 func (b *bodyReader) Close() error { return nil }
 
 // Try implements core.Carrier.
-func (x *exchange) Try(ctx context.Context, a core.Attempt) core.Result {
-	w := x.front.workers
-	body := &bodyReader{r: bytes.NewReader(x.body), allowed: a.Allowed}
+func (x *Exchange) Try(ctx context.Context, a core.Attempt) core.Result {
+	for _, o := range x.others {
+		if o.wire == a.To.Wire {
+			return o.Try(ctx, a)
+		}
+	}
+	w := x.Workers
+	body := &bodyReader{r: bytes.NewReader(x.Body), allowed: a.Allowed}
 	var wrote, broke atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
@@ -126,13 +137,13 @@
 			broke.Store(i.Err != nil)
 		},
 	})
-	req, err := http.NewRequestWithContext(traced, x.method, "http://"+a.To.Addr+x.uri, body)
+	req, err := http.NewRequestWithContext(traced, x.Method, "http://"+a.To.Addr+x.URI, body)
 	if err != nil {
 		return core.Result{Status: decide.Moot, Err: err}
 	}
-	req.ContentLength = int64(len(x.body))
+	req.ContentLength = int64(len(x.Body))
 	for _, name := range []string{"Content-Type", "Accept", headTxn, "X-Lane", "X-Entity", "X-Labels", "X-Estimate", "X-Resent"} {
-		if v := x.head.Values(name); len(v) > 0 {
+		if v := x.Head.Values(name); len(v) > 0 {
 			req.Header[name] = v
 		}
 	}
@@ -209,8 +220,13 @@
 }
 
 // Release implements core.Carrier.
-func (x *exchange) Release(ctx context.Context, at core.Worker) error {
-	return x.front.workers.Release(ctx, at, x.head.Get(headTxn))
+func (x *Exchange) Release(ctx context.Context, at core.Worker) error {
+	for _, o := range x.others {
+		if o.wire == at.Wire {
+			return o.Release(ctx, at)
+		}
+	}
+	return x.Workers.Release(ctx, at, x.Head.Get(headTxn))
 }
 
 // Release lets go of all that is held for the request with this id, at any worker.
@@ -253,6 +269,9 @@
 // over; what is not told is under zero.
 func parseLoad(text string) (decide.Probed, error) {
 	p := decide.Probed{Queue: -1, Tokens: -1}
+	if strings.TrimSpace(text) == "" { // the worker runs but has made no report yet
+		return p, nil
+	}
 	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(value, 64)
@@ -276,10 +295,13 @@
 	stall *time.Timer
 }
 
-// Read passes on what comes. A worker that says nothing for stallLimit after an event is taken for
+// Header is the head of the worker's answer.
+func (s *stream) Header() http.Header { return s.res.Header }
+
+// Read passes on what comes. A worker that says nothing for StallLimit after an event is taken for
 // gone: a machine that vanishes leaves its connections open and silent, and the client must not wait.
 func (s *stream) Read(p []byte) (int, error) {
-	s.stall.Reset(stallLimit)
+	s.stall.Reset(StallLimit)
 	n, err := s.in.Read(p)
 	s.stall.Stop()
 	return n, err
