--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -488,10 +488,13 @@
 		// It may have ended well just as its connection closed: a state may wait there all the same.
 		l.held, l.unknown, l.reader = true, true, a.To
 	}
-	if e.Err != nil || e.Status != decide.Read {
-		l.core.log.Info("attempt", "id", l.ID, "n", e.n, "worker", a.To.ID, "status", statusName(e.Status),
-			"took_ms", time.Since(a.began).Milliseconds(), "read", a.Read, "no_state", e.NoState, "err", e.Err)
+	level := slog.LevelInfo
+	if e.Status == decide.Read {
+		level = slog.LevelDebug
 	}
+	l.core.log.Log(context.Background(), level, "attempt", "id", l.ID, "n", e.n, "worker", a.To.ID, "status", statusName(e.Status),
+		"took_ms", time.Since(a.began).Milliseconds(), "read", a.Read, "no_state", e.NoState, "kept", e.Kept,
+		"prompt", l.Prompt, "err", e.Err)
 	l.outcome(e.n, e.Result)
 }
 
