Refusals say when the wait that they were refused for is gone

Seen: the inherited giveUp refuses with an advice of 0, so clients come back by their own habit, often at once and into the same queue. Lines: giveUp, behind and overloaded in decide/decide.go.

--- a/decide/api.go
+++ b/decide/api.go
@@ -77,6 +77,7 @@
 	OverShareWorth float64       // worth of a request over its tenant's share
 	Tick           time.Duration // shortest time between two events' clocks
 	MaxAttempts    int           // sends of one request, 0 = no limit
+	MaxRetryAfter  time.Duration // the longest advice to refused clients, 0 = give none
 	CanCancel      bool
 	CanProbe       bool          // servers tell their load to probes
 	WritersRead    bool          // a writer without a state reads the prompt
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	// Attempts and final answers.
 	tryShare    = 0.9                    // an attempt may take this share of the time that is left
 	farAim      = 0.5                    // a state may be on its way out of its cell for this part of the aim
+	backLeast   = 50 * time.Millisecond  // a refused client comes back when the wait is gone, or after this
 	answerTicks = 2                      // final answers are given so many ticks before the deadline
 	probeWait   = 10 * time.Millisecond  // a probe's answer is waited for this long ...
 	probeFresh  = 500 * time.Millisecond // ... and taken for true this long
@@ -180,6 +181,7 @@
 func (r *Router) overloaded(p *request, s *server) bool {
 	fill := float64(r.tokens) * float64(r.set.Fronts) / (r.room[Writer] + r.room[Mixed])
 	if len(p.sent) == 0 && fill > shedFill*r.eager(p, s) {
+		p.back = r.set.MaxRetryAfter
 		return true
 	}
 	return r.behind(p, s)
@@ -194,6 +196,7 @@
 	match, _ := s.prefixes.match(&p.Request, r.now)
 	most := min(shedAim*aim.Seconds()*r.eager(p, s), left.Seconds())
 	wait := r.wait(s) + r.reading(p.Prompt-match)
+	p.back = seconds(max(backLeast.Seconds(), wait-most))
 	if s.out > 0 || wait <= most {
 		return wait > most
 	}
@@ -344,7 +347,7 @@
 	if !p.answered {
 		p.answered = true
 		if r.mayRefuse(p) {
-			r.out.Refuse(p.ID, 0)
+			r.out.Refuse(p.ID, min(cmp.Or(p.back, r.set.MaxRetryAfter), r.set.MaxRetryAfter))
 		} else {
 			r.out.Fail(p.ID)
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -15,6 +15,7 @@
 	sends   []string // servers in order
 	timers  map[uint64][]time.Duration
 	timeout time.Duration // of the last send
+	after   time.Duration // of the last refusal
 }
 
 func (f *recorder) note(format string, a ...any) { f.did = append(f.did, fmt.Sprintf(format, a...)) }
@@ -23,12 +24,15 @@
 	f.timeout = t
 	f.sends = append(f.sends, s)
 }
-func (f *recorder) Cancel(id RequestID, n int)               { f.note("cancel %d %d", id, n) }
-func (f *recorder) Refuse(id RequestID, after time.Duration) { f.note("refuse %d", id) }
-func (f *recorder) Fail(id RequestID)                        { f.note("fail %d", id) }
-func (f *recorder) Release(id RequestID)                     { f.note("release %d", id) }
-func (f *recorder) Probe(s string)                           { f.note("probe %s", s) }
-func (f *recorder) AskServers(watch bool)                    { f.note("ask %v", watch) }
+func (f *recorder) Cancel(id RequestID, n int) { f.note("cancel %d %d", id, n) }
+func (f *recorder) Refuse(id RequestID, after time.Duration) {
+	f.note("refuse %d", id)
+	f.after = after
+}
+func (f *recorder) Fail(id RequestID)     { f.note("fail %d", id) }
+func (f *recorder) Release(id RequestID)  { f.note("release %d", id) }
+func (f *recorder) Probe(s string)        { f.note("probe %s", s) }
+func (f *recorder) AskServers(watch bool) { f.note("ask %v", watch) }
 func (f *recorder) SetTimer(token uint64, at time.Duration) {
 	f.timers[token] = append(f.timers[token], at)
 }
@@ -907,3 +911,24 @@
 		}
 	}
 }
+
+// A refused client is told when the wait that it was refused for is gone, within what it honours.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	set := settings()
+	set.MaxRetryAfter = 500 * time.Millisecond
+	for _, c := range []struct {
+		wait        float64
+		least, most time.Duration
+	}{{0.9, backLeast, 300 * time.Millisecond}, {9, 500 * time.Millisecond, 500 * time.Millisecond}} {
+		r, f := start(t, set, fleet())
+		for _, s := range r.listed {
+			s.wait.add(c.wait, time.Second)
+			s.wait.n = 1000
+			s.out = 1
+		}
+		r.Request(time.Second, ask(1))
+		if !f.has("refuse 1") || f.after < c.least || f.after > c.most {
+			t.Errorf("wait %v s: %v, to come back after %v", c.wait, f.did, f.after)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -146,6 +146,7 @@
 	retryAt  time.Duration // looked at again then, 0 = not waiting for a server
 	looked   bool          // its servers have been probed
 	second   *server       // next in its order to the one that it would go to
+	back     time.Duration // until the wait for which it was refused is gone, 0 = not known
 	answered bool          // nothing is owed any more
 	ran      *attempt      // the first attempt that may have had an effect
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -126,6 +126,9 @@
 		ColdFrom: c.ServerRule.ColdFrom, ColdFor: micros(c.ServerRule.RampTime),
 		ColdMultiple: c.ServerRule.OverloadFactor, ColdWindow: micros(c.ServerRule.Fall),
 	}
+	if c.Limits.RetryAfter {
+		s.MaxRetryAfter = micros(c.Limits.MaxRetryAfter)
+	}
 	for _, p := range c.Parties {
 		s.Tenants = append(s.Tenants, decide.Tenant{Quota: p.Quota})
 	}
