--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -25,6 +25,8 @@
 	"google.golang.org/grpc"
 
 	"rowanyard/internal/core"
+	"rowanyard/internal/describe"
+	"rowanyard/internal/extproc"
 	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/wire"
@@ -63,6 +65,12 @@
 		WorkerHosts []string `json:"worker_hosts"` // workers that speak gRPC, "*" = all of them
 		MaxOpen     int      `json:"max_open"`     // calls open at once
 	} `json:"grpc"`
+	ExtProc struct {
+		Listen            string `json:"listen"`
+		DestinationHeader string `json:"destination_header"`
+		OpenAPI           string `json:"openapi"` // the operator's own descriptions
+		AsyncAPI          string `json:"asyncapi"`
+	} `json:"ext_proc"`
 }
 
 // wire says how a worker is spoken to.
@@ -77,6 +85,7 @@
 
 func loadOperator() (operator, error) {
 	o := operator{}
+	o.ExtProc.DestinationHeader = extproc.DestinationHeader
 	o.GRPC.MaxOpen = defaultOpen
 	path := os.Getenv("ROWANYARD_OPERATOR")
 	if path == "" {
@@ -91,9 +100,9 @@
 	if err := d.Decode(&o); err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
 	}
-	if o.GRPC.Listen != "" {
-		if _, _, err := net.SplitHostPort(o.GRPC.Listen); err != nil {
-			return o, fmt.Errorf("%s: grpc.listen: %w", path, err)
+	for name, addr := range map[string]string{"grpc": o.GRPC.Listen, "ext_proc": o.ExtProc.Listen} {
+		if _, _, err := net.SplitHostPort(addr); addr != "" && err != nil {
+			return o, fmt.Errorf("%s: %s.listen: %w", path, name, err)
 		}
 	}
 	if o.GRPC.MaxOpen < 1 {
@@ -194,23 +203,42 @@
 	if err != nil {
 		return err
 	}
-	front := httpfront.New(c, workers, site.ClassNames, log)
+	front := httpfront.New(c, workers, site.ClassNames, describe.Handler, log)
 	if len(op.GRPC.WorkerHosts) > 0 {
 		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
 	}
-	served := make(chan error, 2)
-	var second *grpc.Server
-	if op.GRPC.Listen != "" {
-		l, err := net.Listen("tcp", op.GRPC.Listen)
+	served := make(chan error, 3)
+	var others []*grpc.Server
+	serve := func(name, addr string, server *grpc.Server) error {
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return fmt.Errorf("grpc.listen: %w", err)
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		others = append(others, server)
+		go func() { served <- server.Serve(l) }()
+		log.Info("serving", "front", name, "listen", l.Addr().String())
+		return nil
+	}
+	if addr := op.GRPC.Listen; addr != "" {
+		front := grpcfront.NewServer(c, grpcWorkers, workers, site.ClassNames, op.GRPC.MaxOpen, log)
+		if err := serve("grpc", addr, front.GRPC()); err != nil {
+			return err
+		}
+	}
+	if addr := op.ExtProc.Listen; addr != "" {
+		classes := httpfront.ClassesOf(site.ClassNames)
+		routes, err := describe.Load(op.ExtProc.OpenAPI, op.ExtProc.AsyncAPI, func(name string) bool { _, ok := classes[name]; return ok })
+		if err != nil {
+			return fmt.Errorf("ext_proc: %w", err)
+		}
+		front := &extproc.Server{Core: c, Workers: workers, Classes: classes, Settings: site.Settings, Routes: routes,
+			Destination: op.ExtProc.DestinationHeader, Log: log}
+		if err := serve("ext_proc", addr, front.GRPC()); err != nil {
+			return err
 		}
-		second = grpcfront.NewServer(c, grpcWorkers, workers, site.ClassNames, op.GRPC.MaxOpen, log).GRPC()
-		go func() { served <- second.Serve(l) }()
-		log.Info("serving gRPC", "listen", l.Addr().String())
 	}
 	go func() { served <- front.Serve(listener, int(clientsShare*float64(files))) }()
-	log.Info("serving", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
+	log.Info("serving", "front", "http", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
 
 	select {
 	case err := <-served:
@@ -227,9 +255,10 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		if second != nil {
-			defer context.AfterFunc(end, second.Stop)() // cuts the streams that still run
-			second.GracefulStop()
+		for _, o := range others {
+			stop := context.AfterFunc(end, o.Stop) // cuts the streams that still run
+			o.GracefulStop()
+			stop()
 		}
 	}()
 	front.Shutdown(end)
--- /dev/null
+++ b/cmd/rowanyard/main_test.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3filter"
+	"github.com/getkin/kin-openapi/routers/gorillamux"
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rowanyard/internal/grpcfront/pb"
+	"rowanyard/internal/standin"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "rowanyard")
+	if err == nil {
+		binary = filepath.Join(dir, "rowanyard")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// program is a running router.
+type program struct {
+	cmd   *exec.Cmd
+	lines chan string
+	http  string
+}
+
+func begin(t *testing.T, config []byte, operator string) *program {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	os.WriteFile(path, config, 0o600)
+	p := &program{cmd: exec.Command(binary), lines: make(chan string, 1000)}
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROWANYARD_LOG=info")
+	if operator != "" {
+		file := filepath.Join(dir, "operator.json")
+		os.WriteFile(file, []byte(operator), 0o600)
+		p.cmd.Env = append(p.cmd.Env, "ROWANYARD_OPERATOR="+file)
+	}
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			p.lines <- s.Text()
+		}
+	}()
+	return p
+}
+
+// line waits for a log line and returns what the pattern's group holds.
+func (p *program) line(t *testing.T, pattern string) string {
+	t.Helper()
+	re, late := regexp.MustCompile(pattern), time.After(30*time.Second)
+	for {
+		select {
+		case l, open := <-p.lines:
+			if m := re.FindStringSubmatch(l); m != nil {
+				return m[len(m)-1]
+			}
+			if !open {
+				t.Fatalf("the program ended without %q", pattern)
+			}
+		case <-late:
+			t.Fatalf("no line %q", pattern)
+		}
+	}
+}
+
+func up(t *testing.T, o standin.Options, operator string) (*standin.Fleet, *program) {
+	t.Helper()
+	fleet, err := standin.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	p := begin(t, fleet.Config("127.0.0.1:0"), operator)
+	p.http = "http://" + p.line(t, `msg=serving .*front=http listen=(\S+)`)
+	return fleet, p
+}
+
+func request(p *program, id, class string) *http.Request {
+	req, _ := http.NewRequest(http.MethodPost, p.http+"/v1/chat/completions",
+		strings.NewReader(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"user","content":"`+id+`"}]}`))
+	for k, v := range map[string]string{"Content-Type": "application/json", "X-Txn": id, "X-Lane": class,
+		"X-Remaining-Ms": "4000", "X-Labels": "prompt_len=40,max_out=9"} {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+func TestServesThroughADrainAndASIGTERM(t *testing.T) {
+	fleet, p := up(t, standin.Options{Writers: 2, Tokens: 40, TokenTime: 10 * time.Millisecond}, "")
+	if res, err := http.Get(p.http + "/health/ready"); err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	fleet.SetHealth("writer-1", "draining")
+	p.line(t, `msg="worker list" .*seq=2`)
+	res, err := http.DefaultClient.Do(request(p, "a1", "send-message"))
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	// The stream has begun: SIGTERM must let it end.
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	text, err := io.ReadAll(res.Body)
+	if err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		t.Errorf("%v: %q", err, text)
+	}
+	p.line(t, "msg=(ended)")
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+	if fleet.Effects()["send-message a1"] != 1 || fleet.Held() != 0 {
+		t.Errorf("effects %v, %d held", fleet.Effects(), fleet.Held())
+	}
+}
+
+func TestOperatorsFileTurnsGRPCOn(t *testing.T) {
+	_, p := func() (*standin.Fleet, *program) {
+		fleet, err := standin.Start(standin.Options{GRPC: true, Tokens: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(fleet.Close)
+		return fleet, begin(t, fleet.Config("127.0.0.1:0"), `{"grpc":{"listen":"127.0.0.1:0","worker_hosts":["*"]}}`)
+	}()
+	addr := p.line(t, `msg=serving .*front=grpc listen=(\S+)`)
+	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	s, err := pb.NewCompletionsClient(conn).Complete(context.Background(), &pb.CompleteRequest{Id: "g1", Class: "draft-reply",
+		PromptTokens: 40, FirstTokenWithin: durationpb.New(4 * time.Second), Messages: []*pb.Message{{Role: "user", Content: "k"}}})
+	text := ""
+	for err == nil {
+		var c *pb.Chunk
+		if c, err = s.Recv(); err == nil {
+			text += c.Content
+		}
+	}
+	if err != io.EOF || text != "t0 t1 " {
+		t.Errorf("%q %v", text, err)
+	}
+}
+
+func TestBadConfigurationEndsInOneLine(t *testing.T) {
+	fleet, err := standin.Start(standin.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fleet.Close()
+	good := string(fleet.Config("127.0.0.1:0"))
+	for name, c := range map[string]struct{ config, operator, want string }{
+		"cut":      {good[:len(good)/2], "", "config.json"},
+		"listen":   {strings.Replace(good, "127.0.0.1:0", "nowhere", 1), "", "listen"},
+		"seed":     {strings.Replace(good, `"seed": "1"`, `"seed": "x"`, 1), "", "seed"},
+		"effect":   {strings.Replace(good, "non_idempotent", "maybe", 1), "", "effect"},
+		"instance": {strings.Replace(good, `"me": 0`, `"me": 7`, 1), "", "front 7 of 1"},
+		"key":      {good, `{"grcp":{}}`, "grcp"},
+		"address":  {good, `{"ext_proc":{"listen":"x"}}`, "ext_proc.listen"},
+		"openapi":  {good, `{"ext_proc":{"listen":"127.0.0.1:0","openapi":"/none"}}`, "/none"},
+	} {
+		p := begin(t, []byte(c.config), c.operator)
+		last, n := "", 0
+		for l := range p.lines {
+			if !strings.HasPrefix(l, "time=") {
+				last, n = l, n+1
+			}
+		}
+		if err := p.cmd.Wait(); err == nil || n != 1 || !strings.HasPrefix(last, "rowanyard: ") || !strings.Contains(last, c.want) {
+			t.Errorf("%s: %v, %d lines, %q", name, err, n, last)
+		}
+	}
+}
+
+// The descriptions that the program serves hold for what it really takes and sends.
+func TestDescriptionsMatchTheRealMessages(t *testing.T) {
+	_, p := up(t, standin.Options{Tokens: 2}, "")
+	get := func(path string) []byte {
+		res, err := http.Get(p.http + path)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatal(path, res, err)
+		}
+		defer res.Body.Close()
+		text, _ := io.ReadAll(res.Body)
+		return text
+	}
+	doc, err := openapi3.NewLoader().LoadFromData(get("/openapi.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	router, err := gorillamux.NewRouter(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(req *http.Request, wantCode int, wantValid bool) string {
+		route, params, err := router.FindRoute(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := &openapi3filter.RequestValidationInput{Request: req, Route: route, PathParams: params}
+		if err := openapi3filter.ValidateRequest(context.Background(), in); (err == nil) != wantValid {
+			t.Errorf("request: %v", err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		text, _ := io.ReadAll(res.Body)
+		out := &openapi3filter.ResponseValidationInput{RequestValidationInput: in, Status: res.StatusCode, Header: res.Header,
+			Options: &openapi3filter.Options{ExcludeResponseBody: true, IncludeResponseStatus: true}}
+		if err := openapi3filter.ValidateResponse(context.Background(), out); err != nil || res.StatusCode != wantCode {
+			t.Errorf("answer %d: %v", res.StatusCode, err)
+		}
+		return string(text)
+	}
+	text := check(request(p, "d1", "draft-reply"), 200, true)
+	bad := request(p, "a/b", "draft-reply")
+	check(bad, 400, false)
+
+	var async struct {
+		Components struct {
+			Messages map[string]struct {
+				Payload any `yaml:"payload"`
+			} `yaml:"messages"`
+		} `yaml:"components"`
+	}
+	if err := yaml.Unmarshal(get("/asyncapi.yaml"), &async); err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]int{}
+	for event := range strings.SplitSeq(strings.TrimSpace(text), "\n\n") {
+		data := strings.TrimPrefix(event, "data: ")
+		var value any = data
+		if data != "[DONE]" {
+			if err := yaml.Unmarshal([]byte(data), &value); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fits := ""
+		for name, m := range async.Components.Messages {
+			schema := &openapi3.Schema{}
+			raw, err := asJSON(m.Payload)
+			if err == nil {
+				err = schema.UnmarshalJSON(raw)
+			}
+			if err != nil {
+				t.Fatal(name, err)
+			}
+			if schema.VisitJSON(widen(value)) == nil {
+				fits += name + " "
+			}
+		}
+		seen[fits]++
+	}
+	if seen["token "] != 2 || seen["usage "] != 1 || seen["done "] != 1 || len(seen) != 3 {
+		t.Errorf("events fit %v", seen)
+	}
+}
+
+func asJSON(v any) ([]byte, error) { return json.Marshal(v) }
+
+// widen gives numbers the form that JSON has.
+func widen(v any) any {
+	text, _ := json.Marshal(v)
+	var out any
+	json.Unmarshal(text, &out)
+	return out
+}
--- /dev/null
+++ b/internal/extproc/extproc_test.go
@@ -0,0 +1,203 @@
+package extproc_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"rowanyard/internal/core"
+	"rowanyard/internal/describe"
+	"rowanyard/internal/extproc"
+	"rowanyard/internal/httpfront"
+	"rowanyard/internal/standin"
+	"rowanyard/internal/wire"
+)
+
+// bed is a stand-in proxy that calls the processor for each request.
+type bed struct {
+	fleet *standin.Fleet
+	core  *core.Core
+	url   string
+}
+
+func start(t *testing.T, o standin.Options, routes *describe.Routes) *bed {
+	t.Helper()
+	must := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	log := slog.New(slog.DiscardHandler)
+	fleet, err := standin.Start(o)
+	must(err)
+	t.Cleanup(fleet.Close)
+	site, err := wire.ParseSite(standin.Settings())
+	must(err)
+	hw := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, 400, log)
+	c, err := core.New(site.Settings, 1, hw, log)
+	must(err)
+	var list httpfront.List
+	text, _ := json.Marshal(map[string]any{"hosts": fleet.Hosts()})
+	must(json.Unmarshal(text, &list))
+	c.SetWorkers(true, httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames}.Workers(list, log))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	server := (&extproc.Server{Core: c, Workers: hw, Classes: httpfront.ClassesOf(site.ClassNames), Settings: site.Settings,
+		Routes: routes, Destination: extproc.DestinationHeader, Log: log}).GRPC()
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	must(err)
+	t.Cleanup(func() { conn.Close() })
+	proxy := httptest.NewServer(&standin.Proxy{Processor: conn, Destination: extproc.DestinationHeader, Transport: &http.Transport{}})
+	t.Cleanup(proxy.Close)
+	return &bed{fleet, c, proxy.URL}
+}
+
+func (b *bed) settled(t *testing.T) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	b.core.Wait(ctx)
+	if ctx.Err() != nil || b.fleet.Held() > 0 {
+		t.Errorf("requests that never settle, or %d states that stay held", b.fleet.Held())
+	}
+}
+
+var ids atomic.Int64
+
+func (b *bed) post(path, class, key string, leftMs int, more ...string) (int, http.Header, string, error) {
+	body := fmt.Sprintf(`{"model":"chat","stream":true,"messages":[{"role":"user","content":%q}]}`, key)
+	req, _ := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader(body))
+	req.Header.Set("X-Txn", fmt.Sprintf("t%d", ids.Add(1)))
+	if class != "" {
+		req.Header.Set("X-Lane", class)
+		req.Header.Set("X-Remaining-Ms", fmt.Sprint(leftMs))
+		req.Header.Set("X-Labels", "prompt_len=40,max_out=9")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header, string(text), err
+}
+
+func TestProxyCarriesTheWrite(t *testing.T) {
+	b := start(t, standin.Options{Tokens: 3, Writers: 2}, nil)
+	code, _, text, err := b.post("/v1/chat/completions", "send-message", "k", 1000)
+	if code != 200 || err != nil || !strings.Contains(text, `"t2 "`) || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Errorf("%d %v %q", code, err, text)
+	}
+	b.settled(t)
+}
+
+func TestRefusedFailedAndBad(t *testing.T) {
+	for _, c := range []struct {
+		stage, class string
+		fault        standin.Fault
+		want         int
+	}{
+		{"read", "send-message", standin.TurnAway, 503}, {"write", "send-message", standin.TurnAway, 503},
+		{"write", "send-message", standin.Error, 502}, {"write", "send-message", standin.ResetEarly, 502},
+		{"write", "send-message", standin.Hang, 502}, {"read", "none", standin.None, 400},
+	} {
+		b := start(t, standin.Options{Behave: func(stage, _ string, _ int) standin.Fault {
+			if stage == c.stage {
+				return c.fault
+			}
+			return standin.None
+		}}, nil)
+		code, head, text, _ := b.post("/", c.class, "k", 400)
+		if code != c.want || code == 503 && head.Get("Retry-After") == "" {
+			t.Errorf("%+v: %d %v %q", c, code, head, text)
+		}
+		if n := b.fleet.Calls("write", "k"); n > 1 {
+			t.Errorf("%+v: written %d times", c, n)
+		}
+		b.settled(t)
+	}
+}
+
+func TestRandomResetsRepeatNoEffect(t *testing.T) {
+	b := start(t, standin.Options{Readers: 3, Writers: 4, Tokens: 4,
+		Behave: standin.Random(11, 0.06, standin.ResetEarly, standin.ResetLate, standin.Error, standin.TurnAway)}, nil)
+	var served, broken atomic.Int64
+	var all sync.WaitGroup
+	for c := range 12 {
+		all.Go(func() {
+			for i := range 20 {
+				key := fmt.Sprintf("m-%d-%d", c, i)
+				for range 3 {
+					code, _, text, err := b.post("/", "send-message", key, 2000)
+					if code == http.StatusServiceUnavailable {
+						continue
+					}
+					whole := strings.HasSuffix(text, "data: [DONE]\n\n")
+					if code == 200 && whole != (err == nil) {
+						t.Errorf("%s: %q ended with %v", key, text, err)
+					}
+					if whole {
+						served.Add(1)
+					} else {
+						broken.Add(1)
+					}
+					break
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.settled(t)
+	for key, n := range b.fleet.Effects() {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	t.Logf("%d served, %d broken or failed", served.Load(), broken.Load())
+	if served.Load() < 120 || broken.Load() == 0 {
+		t.Error("the run did not meet what it is for")
+	}
+}
+
+func TestOperatorsDescriptionGivesRouteAndClass(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "api.yaml")
+	os.WriteFile(file, []byte(`openapi: 3.0.3
+info: {title: theirs, version: "1"}
+paths:
+  /members/{member}/send:
+    post:
+      x-rowanyard-class: send-message
+      parameters: [{name: member, in: path, required: true, schema: {type: string}}]
+      responses: {"200": {description: sent}}
+`), 0o600)
+	routes, err := describe.Load(file, "", func(string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := start(t, standin.Options{}, routes)
+	if code, _, text, err := b.post("/members/7/send", "", "k", 0); code != 200 || err != nil || b.fleet.Effects()["send-message k"] != 1 {
+		t.Errorf("%d %q %v", code, text, err)
+	}
+	// What the description does not name passes untouched: here to an upstream that does not exist.
+	if code, _, _, _ := b.post("/other", "", "k2", 0); code != 503 || b.fleet.Calls("read", "k2") != 0 {
+		t.Errorf("other: %d", code)
+	}
+	b.settled(t)
+}
--- a/internal/grpcfront/front_test.go
+++ b/internal/grpcfront/front_test.go
@@ -80,7 +80,7 @@
 	must(err)
 	t.Cleanup(func() { conn.Close() })
 
-	front := httpfront.New(c, hw, site.ClassNames, log)
+	front := httpfront.New(c, hw, site.ClassNames, nil, log)
 	front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: gw.Bridge}
 	plain := httptest.NewServer(front)
 	t.Cleanup(plain.Close)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -68,7 +68,7 @@
 
 	core    *core.Core
 	workers *Workers
-	classes map[string]int
+	classes Classes
 	log     *slog.Logger
 	proxy   *httputil.ReverseProxy
 	server  *http.Server
@@ -78,11 +78,9 @@
 }
 
 // New returns a Front that serves the classes with the given names, in the order of their numbers.
-func New(c *core.Core, w *Workers, classNames []string, logger *slog.Logger) *Front {
-	f := &Front{core: c, workers: w, classes: make(map[string]int), log: logger}
-	for i, name := range classNames {
-		f.classes[name] = i
-	}
+// pages serves what else stands on its port; nil: nothing.
+func New(c *core.Core, w *Workers, classNames []string, pages func(http.Handler) http.Handler, logger *slog.Logger) *Front {
+	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger}
 	quiet := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
@@ -97,7 +95,11 @@
 			w.WriteHeader(statusFail)
 		},
 	}
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+	var handler http.Handler = f
+	if pages != nil {
+		handler = pages(f)
+	}
+	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: quiet}
 	return f
 }
@@ -155,7 +157,7 @@
 	}
 	var q decide.Request
 	if err == nil {
-		q, status, err = f.parse(r.Header, body)
+		q, status, err = f.classes.Parse(r.Header, body)
 	}
 	if err != nil {
 		f.log.Info("bad request", "status", status, "err", err)
@@ -195,10 +197,22 @@
 	return buf.Bytes(), 0, nil
 }
 
-// parse reads a request's head and checks its body. What is malformed is told to the client and
-// nothing is sent for it.
-func (f *Front) parse(h http.Header, body []byte) (decide.Request, int, error) {
-	q, err := f.parseHead(h)
+// Classes are the numbers of the classes by their names.
+type Classes map[string]int
+
+// ClassesOf numbers the classes with these names.
+func ClassesOf(names []string) Classes {
+	c := make(Classes)
+	for i, name := range names {
+		c[name] = i
+	}
+	return c
+}
+
+// Parse reads a request's head and checks its body. What is malformed is told to the client, with
+// the status that is returned, and nothing is sent for it.
+func (c Classes) Parse(h http.Header, body []byte) (decide.Request, int, error) {
+	q, err := c.parseHead(h)
 	if err != nil {
 		return q, http.StatusBadRequest, err
 	}
@@ -218,12 +232,12 @@
 }
 
 // parseHead reads the values that decisions rest on from a request's head.
-func (f *Front) parseHead(h http.Header) (decide.Request, error) {
+func (c Classes) parseHead(h http.Header) (decide.Request, error) {
 	var q decide.Request
 	if id := h.Get(headTxn); !ValidID(id) {
 		return q, fmt.Errorf("%s: %q", headTxn, id)
 	}
-	class, ok := f.classes[h.Get("X-Lane")]
+	class, ok := c[h.Get("X-Lane")]
 	if !ok {
 		return q, fmt.Errorf("X-Lane: unknown class %q", h.Get("X-Lane"))
 	}
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(s.Close)
 	addr := s.Listener.Addr().String()
 	c.SetWorkers(true, []core.Worker{{Addr: addr, Server: decide.Server{ID: "r", Kind: 0}}, {Addr: addr, Server: decide.Server{ID: "w", Kind: 1}}})
-	front := httptest.NewServer(New(c, w, []string{"chat"}, quiet))
+	front := httptest.NewServer(New(c, w, []string{"chat"}, nil, quiet))
 	t.Cleanup(front.Close)
 	return front, c
 }
@@ -283,7 +283,7 @@
 	var b bytes.Buffer
 	head().Write(&b)
 	cuts(f, b.String())
-	front := New(nil, nil, []string{"chat"}, quiet)
+	classes := ClassesOf([]string{"chat"})
 	f.Fuzz(func(t *testing.T, text string) {
 		h := http.Header{}
 		for line := range strings.SplitSeq(text, "\r\n") {
@@ -291,7 +291,7 @@
 				h.Set(k, v)
 			}
 		}
-		if q, err := front.parseHead(h); err == nil && (q.Class != 0 || q.TimeLeft < 0 || q.Hint < 0 || !ValidID(h.Get(headTxn))) {
+		if q, err := classes.parseHead(h); err == nil && (q.Class != 0 || q.TimeLeft < 0 || q.Hint < 0 || !ValidID(h.Get(headTxn))) {
 			t.Error(fmt.Sprintf("%q: %+v", text, q))
 		}
 	})
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -185,24 +185,38 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
 	res.Body.Close()
-	away := res.Header.Get(turnedAway) != ""
-	switch code := res.StatusCode; {
+	if code := res.StatusCode; code != http.StatusAccepted || !a.Read {
+		return refuseStream(Judge(code, res.Header.Get(turnedAway) != ""))
+	}
+	if err != nil {
+		return core.Result{Status: failure(ctx, err, true), Err: err}
+	}
+	kept, err := parseRead(text)
+	if err != nil { // the state waits all the same
+		w.log.Warn("malformed answer of a reader", "worker", a.To.ID, "err", err)
+	}
+	return core.Result{Status: decide.Read, Kept: kept}
+}
+
+// Judge says what a worker's status means for a write; 200 is the beginning of its answer.
+func Judge(code int, away bool) core.Result {
+	switch {
+	case code == http.StatusOK:
+		return core.Result{}
 	case away && code == http.StatusGone:
 		return core.Result{Status: decide.Full, NoState: true}
 	case away && (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout):
 		return core.Result{Status: decide.Full, Err: fmt.Errorf("turned away: %d", code)}
-	case code == http.StatusAccepted && a.Read:
-		if err != nil {
-			return core.Result{Status: failure(ctx, err, true), Err: err}
-		}
-		kept, err := parseRead(text)
-		if err != nil { // the state waits all the same
-			w.log.Warn("malformed answer of a reader", "worker", a.To.ID, "err", err)
-		}
-		return core.Result{Status: decide.Read, Kept: kept}
-	default:
-		return core.Result{Status: decide.Errored, Err: fmt.Errorf("status %d", code)}
 	}
+	return core.Result{Status: decide.Errored, Err: fmt.Errorf("status %d", code)}
+}
+
+// refuseStream makes an error of a stream where none is due, from a reader.
+func refuseStream(r core.Result) core.Result {
+	if r.Status == 0 {
+		r = core.Result{Status: decide.Errored, Err: errors.New("a stream from a reader")}
+	}
+	return r
 }
 
 // parseRead reads a reader's answer: how much of the prompt was found kept.
