--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -636,6 +636,7 @@
 			return
 		}
 		p.Server = server
+		c.log.Debug("probed", "worker", server, "queue", p.Queue, "tokens", p.Tokens)
 		c.tell(func(now time.Duration, r *decide.Router) { r.Probed(now, p) })
 	}()
 }
