Removed workers, clients that leave mid-stream, and a bound on the processor's requests

Found by reading the core against the protocol: a removal that names no kind never reached the module (kind -1 is passed over there); a client's leaving was told as the worker's reset; the list kept gone workers for good; wanted() took a worker that was never listed for ready. Each has a test. A test of refused connections met a port that another package's test had been given: it now holds the port.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -68,6 +68,7 @@
 	ExtProc struct {
 		Listen            string `json:"listen"`
 		DestinationHeader string `json:"destination_header"`
+		MaxOpen           int64  `json:"max_open"`
 		OpenAPI           string `json:"openapi"` // the operator's own descriptions
 		AsyncAPI          string `json:"asyncapi"`
 	} `json:"ext_proc"`
@@ -85,6 +86,7 @@
 
 func loadOperator() (operator, error) {
 	o := operator{}
+	o.ExtProc.MaxOpen = defaultOpen
 	o.ExtProc.DestinationHeader = extproc.DestinationHeader
 	o.GRPC.MaxOpen = defaultOpen
 	path := os.Getenv("ROWANYARD_OPERATOR")
@@ -105,8 +107,8 @@
 			return o, fmt.Errorf("%s: %s.listen: %w", path, name, err)
 		}
 	}
-	if o.GRPC.MaxOpen < 1 {
-		return o, fmt.Errorf("%s: grpc.max_open: %d", path, o.GRPC.MaxOpen)
+	if o.GRPC.MaxOpen < 1 || o.ExtProc.MaxOpen < 1 {
+		return o, fmt.Errorf("%s: max_open: %d and %d, want at least 1", path, o.GRPC.MaxOpen, o.ExtProc.MaxOpen)
 	}
 	return o, nil
 }
@@ -232,7 +234,7 @@
 			return fmt.Errorf("ext_proc: %w", err)
 		}
 		front := &extproc.Server{Core: c, Workers: workers, Classes: classes, Settings: site.Settings, Routes: routes,
-			Destination: op.ExtProc.DestinationHeader, Log: log}
+			Destination: op.ExtProc.DestinationHeader, MaxOpen: op.ExtProc.MaxOpen, Log: log}
 		if err := serve("ext_proc", addr, front.GRPC()); err != nil {
 			return err
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,7 +94,8 @@
 
 	mu      sync.Mutex
 	router  *decide.Router
-	workers map[string]Worker // all that were ever listed and may still be named
+	workers map[string]Worker // all that are listed, and for a while those that were
+	gone    map[string]time.Time
 	lives   map[decide.RequestID]*life
 	lastID  decide.RequestID
 	running sync.WaitGroup // lives
@@ -107,6 +108,7 @@
 	releaseTries = 4
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	overdue      = 15 * time.Millisecond  // the core fails what the module has left unanswered for so long
+	goneKept     = 10 * time.Minute       // longer than any request runs
 	maxChoices   = 64                     // of a request not yet carried out
 )
 
@@ -114,7 +116,8 @@
 func New(set decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
 	now := time.Now()
 	c := &Core{set: set, prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
-		workers: make(map[string]Worker), lives: make(map[decide.RequestID]*life)}
+		workers: make(map[string]Worker), gone: make(map[string]time.Time),
+		lives: make(map[decide.RequestID]*life)}
 	r, err := decide.New(set, seed, (*actions)(c))
 	if err != nil {
 		return nil, err
@@ -156,9 +159,25 @@
 		}
 	}
 	for _, w := range changed {
+		if old, ok := c.workers[w.ID]; ok && w.State == decide.Gone {
+			// The news that a worker is gone need not say what it was.
+			w = old
+			w.State = decide.Gone
+		}
 		c.workers[w.ID] = w
 		list.Servers = append(list.Servers, w.Server)
 	}
+	now := time.Now()
+	for id, w := range c.workers { // guards against a list that grows for as long as the router runs
+		if w.State != decide.Gone {
+			delete(c.gone, id)
+		} else if since, ok := c.gone[id]; !ok {
+			c.gone[id] = now
+		} else if now.Sub(since) > goneKept {
+			delete(c.workers, id)
+			delete(c.gone, id)
+		}
+	}
 	c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, list) })
 }
 
@@ -174,7 +193,8 @@
 func (c *Core) wanted(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.workers[id].State == decide.Ready
+	w, ok := c.workers[id]
+	return ok && w.State == decide.Ready
 }
 
 // Serve takes a request and returns its final answer. What must be done after that (attempts to
@@ -224,6 +244,7 @@
 	out        int  // attempts without a result
 	streaming  bool // the answer's stream has not ended
 	stream     int  // the attempt that streams
+	left       bool // its client went while it streamed
 	sends      atomic.Int32
 	held       bool // a state may be held for it at a worker
 	unknown    bool // a read ended without telling whether it left a state
@@ -304,6 +325,7 @@
 				c.tell(func(now time.Duration, r *decide.Router) { r.Left(now, l.ID) })
 			} else if l.streaming {
 				// Guards against a stream that goes on, or hangs, with nobody to read it.
+				l.left = true
 				l.attempts[l.stream].cancel(errCancelled)
 			}
 		case <-late.C:
@@ -469,6 +491,12 @@
 // connection ends with it, and nothing is sent again: the client has had its one answer.
 func (l *life) streamEnded(status decide.Status) {
 	l.streaming = false
+	if l.left && status != decide.Served {
+		status = decide.Cancelled // the break is the client's doing, not the worker's
+	}
+	if status != decide.Served {
+		l.core.log.Info("stream broke off", "id", l.ID, "worker", l.attempts[l.stream].To.ID, "status", statusName(status))
+	}
 	l.outcome(l.stream, Result{Status: status})
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -205,10 +207,15 @@
 	c := started(t, s, "w")
 	client, leave := context.WithCancel(context.Background())
 	a := c.Serve(client, ask(message, time.Second), s)
+	var lines bytes.Buffer
+	c.log = slog.New(slog.NewTextHandler(&lines, nil))
 	leave()
 	<-closed
-	a.Ended(decide.Cancelled)
+	a.Ended(decide.Reset) // what a front sees when the stream is closed under it
 	settled(t, c)
+	if !strings.Contains(lines.String(), "status=cancelled") {
+		t.Errorf("a client that leaves is held against the worker: %s", lines.String())
+	}
 }
 
 // A carrier or a module that panics costs one request, answered once, not the router.
@@ -236,3 +243,20 @@
 		t.Errorf("verdict %d after %v", a.Verdict, time.Since(began))
 	}
 }
+
+// What discovery says of a removed worker may be its name alone, and it is forgotten in time.
+func TestRemovedWorkers(t *testing.T) {
+	s := &scripted{}
+	c := started(t, s, "w1", "w2")
+	gone := []Worker{{Server: decide.Server{ID: "w1", Kind: -1, State: decide.Gone}}}
+	c.SetWorkers(false, gone)
+	if w := c.workers["w1"]; w.Kind != 1 || c.wanted("w1") || !c.wanted("w2") || c.wanted("never listed") {
+		t.Errorf("%+v", w)
+	}
+	c.gone["w1"] = time.Now().Add(-2 * goneKept)
+	c.SetWorkers(false, nil)
+	if _, ok := c.workers["w1"]; ok {
+		t.Error("kept for good")
+	}
+	c.SetWorkers(false, gone)
+}
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -50,7 +50,9 @@
 	Settings    decide.Settings
 	Routes      *describe.Routes // what the operator's descriptions say; nil: all requests are ours
 	Destination string           // the header that names the writer
+	MaxOpen     int64            // requests open at once
 	Log         *slog.Logger
+	open        atomic.Int64
 }
 
 // GRPC returns a gRPC server with the processor registered.
@@ -84,6 +86,10 @@
 			err = status.Error(codes.Internal, "failed")
 		}
 	}()
+	defer s.open.Add(-1)
+	if s.open.Add(1) > s.MaxOpen { // guards the memory limit
+		return status.Error(codes.ResourceExhausted, "too many requests are open")
+	}
 	c := &call{Server: s, stream: stream, in: make(chan *extprocv3.ProcessingRequest), answers: make(chan core.Answer, 1)}
 	ctx, stop := context.WithCancel(stream.Context())
 	defer stop()
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -58,7 +58,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	server := (&extproc.Server{Core: c, Workers: hw, Classes: httpfront.ClassesOf(site.ClassNames), Settings: site.Settings,
-		Routes: routes, Destination: extproc.DestinationHeader, Log: log}).GRPC()
+		Routes: routes, Destination: extproc.DestinationHeader, MaxOpen: 100, Log: log}).GRPC()
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
 	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -7,11 +7,11 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -124,10 +124,24 @@
 	}
 }
 
+// closedPort is an address that refuses connections and that nobody else can be given meanwhile.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	at, _ := syscall.Getsockname(fd)
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
 func TestOutcomes(t *testing.T) {
 	w := NewWorkers(250*time.Millisecond, 15*time.Second, 100, quiet)
-	refused, _ := net.Listen("tcp", "127.0.0.1:0")
-	refused.Close()
+	refused := closedPort(t)
 	for _, c := range []struct {
 		name    string
 		read    bool
@@ -162,7 +176,7 @@
 			t.Errorf("%s: %+v", c.name, res)
 		}
 		s.Close()
-		a.To.Addr = refused.Addr().String()
+		a.To.Addr = refused
 		if res := x.Try(context.Background(), a); res.Status != decide.ConnectFailed {
 			t.Errorf("refused: %+v", res)
 		}
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -82,7 +82,7 @@
 	if m == nil {
 		return
 	}
-	out, _ := http.NewRequestWithContext(ctx, r.Method, "http://unrouted"+r.URL.RequestURI(), io.NopCloser(strings.NewReader(string(body))))
+	out, _ := http.NewRequestWithContext(ctx, r.Method, "http://127.0.0.1:1"+r.URL.RequestURI(), io.NopCloser(strings.NewReader(string(body))))
 	out.ContentLength = int64(len(body))
 	out.Header = r.Header.Clone()
 	for _, h := range m.GetRequestBody().GetResponse().GetHeaderMutation().GetSetHeaders() {
