--- a/decide/decide.go
+++ b/decide/decide.go
@@ -180,7 +180,6 @@
 func (r *Router) overloaded(p *request, s *server) bool {
 	fill := float64(r.tokens) * float64(r.set.Fronts) / (r.room[Writer] + r.room[Mixed])
 	if len(p.sent) == 0 && fill > shedFill*r.eager(p, s) {
-		p.back = r.set.MaxRetryAfter
 		return true
 	}
 	return r.behind(p, s)
@@ -345,7 +344,8 @@
 	if !p.answered {
 		p.answered = true
 		if r.mayRefuse(p) {
-			r.out.Refuse(p.ID, min(cmp.Or(p.back, r.set.MaxRetryAfter), r.set.MaxRetryAfter))
+			most := r.set.MaxRetryAfter / 2 // the aim runs on: longer stays cost more than they gain
+			r.out.Refuse(p.ID, min(cmp.Or(p.back, most), most))
 		} else {
 			r.out.Fail(p.ID)
 		}
