A client that stops reading is let go after 30 s; gRPC fronts drain side by side

Found by reading: nothing bounded a write to a client that takes nothing, so its stream and the writer's slot were held for good (TestClientThatStopsReadingIsLetGo hangs without it).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -19,6 +19,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -257,11 +258,14 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
+		var all sync.WaitGroup
 		for _, o := range others {
-			stop := context.AfterFunc(end, o.Stop) // cuts the streams that still run
-			o.GracefulStop()
-			stop()
+			all.Go(func() {
+				defer context.AfterFunc(end, o.Stop)() // cuts the streams that still run
+				o.GracefulStop()
+			})
 		}
+		all.Wait()
 	}()
 	front.Shutdown(end)
 	<-drained
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -205,10 +205,10 @@
 		return Result{Stream: 1}
 	}}
 	c := started(t, s, "w")
-	client, leave := context.WithCancel(context.Background())
-	a := c.Serve(client, ask(message, time.Second), s)
 	var lines bytes.Buffer
 	c.log = slog.New(slog.NewTextHandler(&lines, nil))
+	client, leave := context.WithCancel(context.Background())
+	a := c.Serve(client, ask(message, time.Second), s)
 	leave()
 	<-closed
 	a.Ended(decide.Reset) // what a front sees when the stream is closed under it
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -33,22 +33,21 @@
 
 // Limits of what clients may send and hold.
 const (
-	maxBody     = 256 << 10
-	maxBodies   = 40 << 20 // bytes of bodies held at once; past it new requests are refused
-	maxHead     = 16 << 10
-	maxTokens   = 1 << 30
-	headTime    = 10 * time.Second // to send a request's head, and again its body
-	idleTime    = 60 * time.Second // a client's connection may stand idle so long
-	busyAgain   = 250 * time.Millisecond
-	copyBuffer  = 8 << 10
-	pathReady   = "/health/ready"
-	PathChat    = "/v1/chat/completions"
-	headTxn     = "X-Txn"
-	headLeft    = "X-Remaining-Ms"
-	statusFail  = http.StatusBadGateway
-	closeAfter  = 600 * time.Millisecond // after SIGTERM connections still arrive for so long
-	closePoll   = 20 * time.Millisecond
-	writeMargin = 30 * time.Second // a client that takes nothing for so long is let go
+	maxBody    = 256 << 10
+	maxBodies  = 40 << 20 // bytes of bodies held at once; past it new requests are refused
+	maxHead    = 16 << 10
+	maxTokens  = 1 << 30
+	headTime   = 10 * time.Second // to send a request's head, and again its body
+	idleTime   = 60 * time.Second // a client's connection may stand idle so long
+	busyAgain  = 250 * time.Millisecond
+	copyBuffer = 8 << 10
+	pathReady  = "/health/ready"
+	PathChat   = "/v1/chat/completions"
+	headTxn    = "X-Txn"
+	headLeft   = "X-Remaining-Ms"
+	statusFail = http.StatusBadGateway
+	closeAfter = 600 * time.Millisecond // after SIGTERM connections still arrive for so long
+	writeLimit = 30 * time.Second       // a client that takes nothing for so long is let go
 )
 
 // Stream is what an Answer of this front streams: a worker's events as they stand on the wire.
@@ -72,6 +71,7 @@
 	log     *slog.Logger
 	proxy   *httputil.ReverseProxy
 	server  *http.Server
+	writes  time.Duration // writeLimit
 	bodies  atomic.Int64
 	ready   atomic.Bool
 	active  sync.WaitGroup
@@ -80,7 +80,7 @@
 // New returns a Front that serves the classes with the given names, in the order of their numbers.
 // pages serves what else stands on its port; nil: nothing.
 func New(c *core.Core, w *Workers, classNames []string, pages func(http.Handler) http.Handler, logger *slog.Logger) *Front {
-	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger}
+	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit}
 	quiet := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
@@ -168,7 +168,7 @@
 	for wire, bridge := range f.Bridges {
 		x.others = append(x.others, other{wire, bridge(q, r.Header.Get(headTxn), r.Header.Get("X-Lane"), body)})
 	}
-	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q}))
+	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q, http.NewResponseController(w)}))
 	f.proxy.ServeHTTP(w, r)
 }
 
@@ -334,8 +334,9 @@
 
 // taken is a request that the handler has read, on its way to RoundTrip.
 type taken struct {
-	x *Exchange
-	q decide.Request
+	x      *Exchange
+	q      decide.Request
+	client *http.ResponseController
 }
 
 // roundTripper hands a request to the core and makes a response of its final answer.
@@ -354,7 +355,7 @@
 		s := a.Stream.(Stream)
 		res.StatusCode, res.Header, res.ContentLength = http.StatusOK, s.Header().Clone(), -1
 		res.Header.Del("Content-Length")
-		res.Body = &relay{s, a.Ended}
+		res.Body = &relay{s, a.Ended, got.client, t.f.writes}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
 		refuse(res.Header, a.RetryAfter)
@@ -370,11 +371,15 @@
 // error here, on which the proxy ends the client's connection without the last chunk.
 type relay struct {
 	Stream
-	ended func(decide.Status)
+	ended  func(decide.Status)
+	client *http.ResponseController
+	writes time.Duration
 }
 
 func (r *relay) Read(p []byte) (int, error) {
 	n, err := r.Stream.Read(p)
+	// Guards against a client that stops reading and would hold its stream, and a writer's slot, for good.
+	_ = r.client.SetWriteDeadline(time.Now().Add(r.writes))
 	switch {
 	case err == io.EOF:
 		r.ended(decide.Served)
@@ -385,7 +390,8 @@
 }
 
 func (r *relay) Close() error {
-	r.ended(decide.Cancelled) // the client has gone, if the stream has not ended before
+	_ = r.client.SetWriteDeadline(time.Time{}) // the connection may be used again
+	r.ended(decide.Cancelled)                  // the client has gone, if the stream has not ended before
 	return r.Stream.Close()
 }
 
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -47,7 +47,9 @@
 	t.Cleanup(s.Close)
 	addr := s.Listener.Addr().String()
 	c.SetWorkers(true, []core.Worker{{Addr: addr, Server: decide.Server{ID: "r", Kind: 0}}, {Addr: addr, Server: decide.Server{ID: "w", Kind: 1}}})
-	front := httptest.NewServer(New(c, w, []string{"chat"}, nil, quiet))
+	f := New(c, w, []string{"chat"}, nil, quiet)
+	f.writes = 100 * time.Millisecond
+	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
 	return front, c
 }
@@ -110,6 +112,27 @@
 	c.Wait(context.Background())
 }
 
+func TestClientThatStopsReadingIsLetGo(t *testing.T) {
+	left := make(chan struct{})
+	front, c := bed(t, twoStages(func(w http.ResponseWriter, r *http.Request) {
+		defer close(left)
+		for junk := make([]byte, 1<<16); ; {
+			if _, err := w.Write(junk); err != nil {
+				return
+			}
+		}
+	}))
+	req, _ := http.NewRequest(http.MethodPost, front.URL+"/", strings.NewReader(bodyText))
+	req.Header = head()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	<-left
+	c.Wait(context.Background())
+}
+
 // Guards against a library that sends a request again by itself, or an outcome that hides that it
 // may have run: the connection ends after the last byte, on a fresh and on a kept connection.
 func TestResetAfterTheLastByteIsSentOnce(t *testing.T) {
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -37,17 +37,16 @@
 
 // Workers is the client side towards workers.
 type Workers struct {
-	transport      *http.Transport
-	log            *slog.Logger
-	open           atomic.Int64
-	limit          int64
-	ConnectTimeout time.Duration
+	transport *http.Transport
+	log       *slog.Logger
+	open      atomic.Int64
+	limit     int64
 }
 
 // NewWorkers returns a client that holds at most maxConns connections, none of them idle for as
 // long as the workers' limit.
 func NewWorkers(connectTimeout, connIdle time.Duration, maxConns int, log *slog.Logger) *Workers {
-	w := &Workers{log: log, limit: int64(maxConns), ConnectTimeout: connectTimeout}
+	w := &Workers{log: log, limit: int64(maxConns)}
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
