A message's state that leaves its cell is waited for: it can't be sent again

Checked in the log: each was read, sent to a writer outside the reader's cell and timed out there, at half of the aim. Ruled out: the sockets (the attempts' own time was up) and the writers (drafts were answered by them meanwhile). At fault: the patience for far states in send(), decide/decide.go, which lets a draft try elsewhere but ends a message, since it may have run. Now it holds for repeatable classes only.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -325,7 +325,7 @@
 		r.book(s, r.size(p), 1)
 	}
 	patience := seconds(tryShare * (p.deadline - r.now).Seconds())
-	if p.holder != nil && p.holder.Cell != s.Cell { // it may be stuck in a jammed link
+	if p.class.Effect != Unsafe && p.holder != nil && p.holder.Cell != s.Cell { // stuck in a jammed link?
 		patience = min(patience, seconds(farAim*r.aim(p).Seconds()))
 	}
 	r.out.Send(p.ID, s.ID, max(r.set.Tick, patience))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -945,3 +945,21 @@
 		t.Errorf("wait %+v, before %+v", r.servers[f.last()].wait, before)
 	}
 }
+
+// A message that can't be sent again waits for its state to cross a slow link as long as it may; a
+// draft is cut off there and tried elsewhere.
+func TestFarStateOfAMessageIsWaitedFor(t *testing.T) {
+	for effect, least := range map[Effect]time.Duration{Safe: 0, Unsafe: 6 * time.Second} {
+		set, servers := settings(), fleet()
+		set.Classes[0].Effect = effect
+		for i := range servers { // the only writer lies in another cell
+			servers[i].Cell = servers[i].Kind
+		}
+		r, f := start(t, set, servers)
+		r.Request(0, ask(1))
+		r.Outcome(50*ms, Outcome{ID: 1, Server: f.last(), Status: Read, Took: 50 * ms, Kept: 3000})
+		if far := r.aim(&request{class: &set.Classes[0], Request: ask(1)}) / 2; effect == Safe && f.timeout > far || f.timeout < least {
+			t.Errorf("effect %d: waited for %v", effect, f.timeout)
+		}
+	}
+}
