The bridge between HTTP and gRPC loses nothing: parameters pass, odd messages are refused

Found by reading: an HTTP body's temperature, stop and the like were dropped on the way to a gRPC worker, since fromBody's predecessor took model and messages alone. They go along as parameters now, both ways; what a message can't hold ends the attempt before it is sent. Tests and a fuzz target with seeds.

--- a/internal/grpcfront/bridge.go
+++ b/internal/grpcfront/bridge.go
@@ -21,14 +21,14 @@
 	"rowanyard/internal/httpfront"
 
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
 )
 
-// chat is the body of an HTTP request.
+// chat is what an HTTP request's body says that has a field of ours.
 type chat struct {
-	Model     string    `json:"model"`
-	Stream    bool      `json:"stream"`
-	MaxTokens int64     `json:"max_tokens"`
-	Messages  []message `json:"messages"`
+	Model     string          `json:"model"`
+	MaxTokens int64           `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
 }
 
 type message struct {
@@ -69,11 +69,19 @@
 
 // overHTTP carries a gRPC client's request to servers that speak HTTP.
 func overHTTP(w *httpfront.Workers, r *pb.CompleteRequest) core.Carrier {
-	body := chat{Model: r.Model, Stream: true, MaxTokens: r.MaxOutputTokens, Messages: make([]message, 0, len(r.Messages))}
+	body := r.Parameters.AsMap()
+	if body == nil {
+		body = make(map[string]any)
+	}
+	messages := make([]message, 0, len(r.Messages))
 	for _, m := range r.Messages {
-		body.Messages = append(body.Messages, message{m.Role, m.Content})
+		messages = append(messages, message{m.Role, m.Content})
+	}
+	body["model"], body["stream"], body["max_tokens"], body["messages"] = r.Model, true, r.MaxOutputTokens, messages
+	text, err := json.Marshal(body)
+	if err != nil { // a parameter that is no number
+		return broken{fmt.Errorf("parameters: %w", err)}
 	}
-	text, _ := json.Marshal(body) // strings and numbers only: it can't fail
 	head := http.Header{}
 	head.Set("Content-Type", "application/json")
 	head.Set("X-Txn", r.Id)
@@ -152,15 +160,47 @@
 	case q.Repeat:
 		r.Resent = pb.Resent_RESENT_RETRY
 	}
-	var b chat
-	if err := json.Unmarshal(body, &b); err != nil { // a message in a form that has no place in ours
+	if err := fromBody(r, body); err != nil { // a message in a form that has no place in ours
 		return broken{fmt.Errorf("body: %w", err)}
 	}
-	r.Model = b.Model
-	for _, m := range b.Messages {
+	return encoded{&exchange{workers: w, req: r}}
+}
+
+// fromBody takes over what an HTTP body says. Nothing of it may get lost: what is neither a message nor
+// a field of ours goes along as a parameter, and what a message can't hold is an error.
+func fromBody(r *pb.CompleteRequest, body []byte) error {
+	var b chat
+	var rest map[string]any
+	if err := json.Unmarshal(body, &rest); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return err
+	}
+	strict := json.NewDecoder(bytes.NewReader(b.Messages))
+	strict.DisallowUnknownFields()
+	var messages []message
+	if len(b.Messages) > 0 {
+		if err := strict.Decode(&messages); err != nil {
+			return err
+		}
+	}
+	for _, m := range messages {
 		r.Messages = append(r.Messages, &pb.Message{Role: m.Role, Content: m.Content})
 	}
-	return encoded{&exchange{workers: w, req: r}}
+	r.Model = b.Model
+	if b.MaxTokens > 0 {
+		r.MaxOutputTokens = b.MaxTokens
+	}
+	for _, name := range []string{"model", "stream", "max_tokens", "messages"} {
+		delete(rest, name)
+	}
+	if len(rest) == 0 {
+		return nil
+	}
+	var err error
+	r.Parameters, err = structpb.NewStruct(rest)
+	return err
 }
 
 // broken carries nothing.
--- /dev/null
+++ b/internal/grpcfront/bridge_test.go
@@ -0,0 +1,72 @@
+package grpcfront
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront/pb"
+	"rowanyard/internal/httpfront"
+)
+
+const event = `data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":"stop"}],"usage":{"prompt_tokens":5,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}}`
+
+// What the bridge writes as events it reads back as the same chunks.
+func FuzzEvent(f *testing.F) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	f.Add(event)
+	for range 40 {
+		i, j := rng.IntN(len(event)), rng.IntN(len(event))
+		f.Add(event[:i])
+		f.Add(event[:min(i, j)] + event[max(i, j):])
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		c, err := parseEvent(line)
+		if err != nil || c == nil {
+			return
+		}
+		var text bytes.Buffer
+		writeEvent(&text, c)
+		back := &pb.Chunk{}
+		for l := range strings.SplitSeq(text.String(), "\n\n") {
+			part, err := parseEvent(l)
+			if err != nil {
+				t.Fatalf("%q: %v", l, err)
+			}
+			if part != nil {
+				proto.Merge(back, part)
+			}
+		}
+		if !proto.Equal(c, back) {
+			t.Errorf("%q: %v, back %v", line, c, back)
+		}
+	})
+}
+
+// An HTTP body that has no place in our messages is never sent: nothing of it may be lost on the way.
+func TestBridgeSendsNoBodyThatItCantCarry(t *testing.T) {
+	w := NewWorkers(0, 0)
+	c := w.Bridge(decide.Request{}, "a", "draft-reply", []byte(`{"messages":[{"role":"user","content":[{"type":"image"}]}]}`))
+	if r := c.Try(context.Background(), core.Attempt{}); r.Status != decide.Moot || r.Err == nil {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Parameters that our messages do not name pass both ways.
+func TestBridgeKeepsParameters(t *testing.T) {
+	r := &pb.CompleteRequest{}
+	if err := fromBody(r, []byte(`{"model":"m","stream":true,"max_tokens":7,"temperature":0.5,"stop":["x"],"messages":[{"role":"user","content":"c"}]}`)); err != nil {
+		t.Fatal(err)
+	}
+	back := &pb.CompleteRequest{}
+	body := overHTTP(nil, r).(decoded).Carrier.(*httpfront.Exchange).Body
+	if err := fromBody(back, body); err != nil || !proto.Equal(r, back) || back.Parameters.Fields["temperature"].GetNumberValue() != 0.5 {
+		t.Errorf("%v: %s", err, body)
+	}
+}
