--- a/internal/grpcfront/bridge_test.go
+++ b/internal/grpcfront/bridge_test.go
@@ -7,6 +7,9 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"rowanyard/decide"
@@ -70,3 +73,15 @@
 		t.Errorf("%v: %s", err, body)
 	}
 }
+
+// Too many open calls are refused, not failed: nothing has run, and the client is told when to come back.
+func TestTooManyOpenCallsAreRefused(t *testing.T) {
+	err := NewServer(nil, nil, nil, nil, 0, nil).Complete(&pb.CompleteRequest{}, nil)
+	st := status.Convert(err)
+	if st.Code() != codes.ResourceExhausted || len(st.Details()) != 1 {
+		t.Fatal(err)
+	}
+	if info, ok := st.Details()[0].(*errdetails.RetryInfo); !ok || info.RetryDelay.AsDuration() != busyAgain {
+		t.Errorf("%v", st.Details())
+	}
+}
