--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -132,6 +133,16 @@
 	}
 	fleet.SetHealth("writer-1", "draining")
 	p.line(t, `msg="worker list" .*seq=2`)
+	idle, err := net.Dial("tcp", strings.TrimPrefix(p.http, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	fmt.Fprint(idle, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	kept := bufio.NewReader(idle)
+	if res, err := http.ReadResponse(kept, nil); err != nil || res.StatusCode != 200 || res.Close {
+		t.Fatal(res, err)
+	}
 	res, err := http.DefaultClient.Do(request(p, "a1", "send-message"))
 	if err != nil || res.StatusCode != 200 {
 		t.Fatal(res, err)
@@ -142,6 +153,10 @@
 	if err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
 		t.Errorf("%v: %q", err, text)
 	}
+	// An idle connection is ended, so that its client goes to another router.
+	if _, err := kept.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v", err)
+	}
 	p.line(t, "msg=(ended)")
 	if err := p.cmd.Wait(); err != nil {
 		t.Errorf("the program ended with %v", err)
