SIGHUP reads the file again and moves the watch to its discovery

Cause: nothing caught the signal; ROUTER_DISCOVERY overruled the file on every load (main.go load). Now: the file is read again, the watch moves to its discovery, takes the whole list there (versions need not count alike) and keeps the old list until it comes; what the old address says late is dropped. Ruled out: seq carried over; a drain at the same time (test).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -130,21 +130,31 @@
 	return l
 }
 
-// load reads the configuration; the environment has the last word on what it names.
-func load() (config, wire.Site, uint64, error) {
+// read reads the file that ROUTER_CONFIG names.
+func read() (config, error) {
 	var c config
-	fail := func(err error) (config, wire.Site, uint64, error) { return c, wire.Site{}, 0, err }
 	path := os.Getenv("ROUTER_CONFIG")
 	if path == "" {
-		return fail(errors.New("ROUTER_CONFIG is not set"))
+		return c, errors.New("ROUTER_CONFIG is not set")
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return fail(fmt.Errorf("ROUTER_CONFIG: %w", err))
+		return c, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
 	if err := json.Unmarshal(text, &c); err != nil {
-		return fail(fmt.Errorf("%s: %w", path, err))
+		return c, fmt.Errorf("%s: %w", path, err)
 	}
+	return c, nil
+}
+
+// load reads the configuration; at the start the environment has the last word on what it names.
+func load() (config, wire.Site, uint64, error) {
+	c, err := read()
+	fail := func(err error) (config, wire.Site, uint64, error) { return c, wire.Site{}, 0, err }
+	if err != nil {
+		return fail(err)
+	}
+	path := os.Getenv("ROUTER_CONFIG")
 	for name, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery} {
 		if v := os.Getenv(name); v != "" {
 			*to = v
@@ -166,7 +176,26 @@
 	return c, site, seed, nil
 }
 
+// follow reads the configuration again and moves the watch to the discovery that it names now. What
+// the environment says of that was fixed at the start and does not count any more. All else holds
+// until a restart.
+func follow(d *httpfront.Discovery, log *slog.Logger) {
+	c, err := read()
+	if err == nil {
+		_, _, err = net.SplitHostPort(c.Discovery)
+	}
+	if err != nil {
+		log.Error("new configuration is not taken, the old one holds", "err", err)
+		return
+	}
+	log.Info("new configuration", "discovery", c.Discovery)
+	d.Follow(c.Discovery, 0)
+}
+
 func run(log *slog.Logger) error {
+	// Guards against SIGHUP ending the program; one that comes while another is handled is kept.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, site, seed, err := load()
 	if err != nil {
 		return err
@@ -198,9 +227,14 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	watching, endWatch := context.WithCancel(context.Background())
-	defer endWatch()
-	go httpfront.Watch(watching, cfg.Discovery, names, cfg.Known.Seq, c, log)
+	discovery := &httpfront.Discovery{Names: names, Core: c, Log: log}
+	defer discovery.Close()
+	discovery.Follow(cfg.Discovery, cfg.Known.Seq)
+	go func() {
+		for range reload {
+			follow(discovery, log)
+		}
+	}()
 
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -52,6 +52,7 @@
 // program is a running router.
 type program struct {
 	cmd   *exec.Cmd
+	file  string // its configuration
 	lines chan string
 	http  string
 }
@@ -61,7 +62,7 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "config.json")
 	os.WriteFile(path, config, 0o600)
-	p := &program{cmd: exec.Command(binary), lines: make(chan string, 1000)}
+	p := &program{cmd: exec.Command(binary), file: path, lines: make(chan string, 1000)}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROWANYARD_LOG=info")
 	if operator != "" {
 		file := filepath.Join(dir, "operator.json")
@@ -166,6 +167,51 @@
 	}
 }
 
+// SIGHUP must end neither the program nor what it knows: it moves to the discovery that the file names
+// now, though the environment names the old one, and takes the whole list there. A file that can't be
+// read changes nothing.
+func TestSIGHUPMovesToAnotherDiscovery(t *testing.T) {
+	old, err := standin.Start(standin.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(old.Close)
+	next, err := standin.Start(standin.Options{Readers: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(next.Close)
+	t.Setenv("ROUTER_DISCOVERY", old.Discovery)
+	p := begin(t, old.Config("127.0.0.1:0"), "")
+	p.http = "http://" + p.line(t, `msg=serving .*front=http listen=(\S+)`)
+	p.line(t, `msg="worker list" .*entries=(2)`)
+	hup := func(config []byte, want string) {
+		t.Helper()
+		os.WriteFile(p.file, config, 0o600)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.line(t, want)
+	}
+	hup([]byte("{"), `level=ERROR msg="new configuration is not taken`)
+	hup(next.Config("x"), `msg="worker list" .*whole=true entries=(3)`)
+	hup(next.Config("x"), `msg="new configuration"`)
+	next.SetHealth("reader-1", "draining") // a watch goes on there
+	p.line(t, `msg="worker list" .*seq=(2)`)
+	res, err := http.DefaultClient.Do(request(p, "h1", "draft-reply"))
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	io.Copy(io.Discard, res.Body)
+	if next.Calls("read", "h1") != 1 || old.Calls("read", "h1") != 0 {
+		t.Errorf("read %d times by a worker that only the new list names", next.Calls("read", "h1"))
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line(t, "msg=(ended)")
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
 func TestOperatorsFileTurnsGRPCOn(t *testing.T) {
 	_, p := func() (*standin.Fleet, *program) {
 		fleet, err := standin.Start(standin.Options{GRPC: true, Tokens: 2})
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -1,11 +1,12 @@
 package httpfront
 
 // This file owns the watch on discovery: it reads the list of workers and its changes and hands
-// them to the core as they come. It must never hold a change back, and never let a line that it
-// can't read end the watch for good.
+// them to the core as they come, from one address at a time. It must never hold a change back, never
+// let a line that it can't read end the watch for good, and never mix what two addresses say.
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"rowanyard/decide"
@@ -26,6 +28,7 @@
 	pathList      = "/registry/instances"
 	watchAgain    = 200 * time.Millisecond // a watch that ended is asked for again after this
 	watchSilent   = 6 * time.Second        // an empty line comes every 2 s
+	listWait      = time.Second            // the whole list comes at once or not at all
 	watchLine     = 4 << 20
 	discoveryDial = time.Second
 )
@@ -89,14 +92,56 @@
 	return all
 }
 
-// Watch follows discovery until ctx ends. after is the version of the list that the core has.
-func Watch(ctx context.Context, addr string, names Names, after int64, c *core.Core, log *slog.Logger) {
+// Discovery follows one address of discovery at a time.
+type Discovery struct {
+	Names Names
+	Core  *core.Core
+	Log   *slog.Logger
+	Line  int // the longest line that is read, 0 = watchLine
+
+	mu   sync.Mutex
+	addr string
+	stop context.CancelFunc
+}
+
+// wholeList asks for the whole list before the watch.
+const wholeList = -1
+
+// Follow watches addr from now on and no other. after is the version of the list that the core has.
+// Where an address was followed before, addr need not count its versions alike: the whole list is
+// taken from there, and what is known holds until it comes. The same address again changes nothing.
+func (d *Discovery) Follow(addr string, after int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.addr == addr {
+		return
+	}
+	if d.stop != nil {
+		d.stop()
+		after = wholeList
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d.addr, d.stop = addr, stop
+	go d.watch(ctx, addr, after)
+}
+
+// Close ends the watch.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stop != nil {
+		d.stop()
+	}
+}
+
+// watch follows addr until ctx ends.
+func (d *Discovery) watch(ctx context.Context, addr string, after int64) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: (&net.Dialer{Timeout: discoveryDial}).DialContext}}
 	for ctx.Err() == nil {
-		err := watchOnce(ctx, client, addr, names, &after, c, log)
+		err := d.watchOnce(ctx, client, addr, &after)
 		if ctx.Err() == nil {
-			log.Warn("watch ended", "seq", after, "err", err)
+			d.Log.Warn("watch ended", "addr", addr, "seq", after, "err", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -106,13 +151,27 @@
 }
 
 // watchOnce follows one watch to its end.
-func watchOnce(ctx context.Context, client *http.Client, addr string, names Names, after *int64, c *core.Core, log *slog.Logger) error {
+func (d *Discovery) watchOnce(ctx context.Context, client *http.Client, addr string, after *int64) error {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	// Guards against a discovery that keeps the connection open and says nothing.
-	silent := time.AfterFunc(watchSilent, func() { stop(errors.New("discovery is silent")) })
+	silent := time.AfterFunc(listWait, func() { stop(errors.New("discovery is silent")) })
 	defer silent.Stop()
-	url := "http://" + addr + pathList + "?watch=1&after=" + strconv.FormatInt(*after, 10)
+	url := "http://" + addr + pathList
+	if *after == wholeList {
+		if err := d.read(ctx, client, url, silent, after); err != nil {
+			return err
+		}
+	}
+	silent.Reset(watchSilent)
+	if err := d.read(ctx, client, url+"?watch=1&after="+strconv.FormatInt(*after, 10), silent, after); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// read takes an answer's lines to its end.
+func (d *Discovery) read(ctx context.Context, client *http.Client, url string, silent *time.Timer, after *int64) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -126,25 +185,36 @@
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
 	lines := bufio.NewScanner(res.Body)
-	lines.Buffer(make([]byte, 0, 4<<10), watchLine)
+	lines.Buffer(make([]byte, 0, 4<<10), cmp.Or(d.Line, watchLine))
 	for lines.Scan() {
 		silent.Reset(watchSilent)
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
 		l, err := parseList(lines.Bytes())
+		if err == nil {
+			err = d.take(ctx, l)
+		}
 		if err != nil { // what it said is unknown: ask for the whole list
-			*after = 0
+			*after = wholeList
 			return err
 		}
 		*after = l.Seq
-		c.SetWorkers(l.Whole, names.Workers(l, log))
-		log.Info("worker list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts))
 	}
-	if err := lines.Err(); err != nil {
-		return err
+	return lines.Err()
+}
+
+// take hands a line to the core, unless another address is followed by now: what the old one
+// said late must not undo what the new one has told.
+func (d *Discovery) take(ctx context.Context, l List) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
 	}
-	return io.ErrUnexpectedEOF
+	d.Core.SetWorkers(l.Whole, d.Names.Workers(l, d.Log))
+	d.Log.Info("worker list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts))
+	return nil
 }
 
 func parseList(line []byte) (List, error) {
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -250,11 +250,11 @@
 	}))
 	defer s.Close()
 	c, _ := core.New(decide.Settings{Fronts: 1, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, quiet)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go Watch(ctx, s.Listener.Addr().String(), Names{Kinds: []string{"m"}, Zones: []string{"a"}}, 41, c, quiet)
-	if a, b := <-got, <-got; a != "41" || b != "0" {
-		t.Errorf("asked after %s, then %s", a, b)
+	d := &Discovery{Names: Names{Kinds: []string{"m"}, Zones: []string{"a"}}, Core: c, Log: quiet}
+	defer d.Close()
+	d.Follow(s.Listener.Addr().String(), 41)
+	if a, b := <-got, <-got; a != "41" || b != "" {
+		t.Errorf("asked after %q, then %q: want the whole list", a, b)
 	}
 	if _, ok := c.Worker("w"); !ok {
 		t.Error("the entry that made sense was lost")
