Guards on clients' and workers' connections; a stream counts from its first whole event

Lines at fault: front.go headTime and idleTime (10 s, 60 s) and netutil.LimitListener let silent and idle connections keep ordinary newcomers out; readBody took 413 for an answer and closed on unread bytes; workers.go Peek(1) took one byte for a stream begun; net/http reads noise, heads of up to 10 MB, chunks of any size and answers behind an answer; SetWorkers kept what was gone for 10 minutes. An open id is a conflict in all three fronts. Budgets follow limits. Ruled out: ten-minute kept workers as the cause of the descriptors (idle clients were).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -49,9 +50,12 @@
 }
 
 const (
-	memoryShare  = 0.7 // of the memory limit: where the collector begins to work harder
-	clientsShare = 0.55
-	workersShare = 0.35 // of the sockets; the rest is for discovery, logs and the runtime
+	memoryShare  = 0.7  // of the memory limit: where the collector begins to work harder
+	bodiesShare  = 0.12 // of it: what clients' bodies may hold at once, and
+	lineShare    = 0.04 // a line of discovery
+	clientsShare = 0.45 // of the sockets,
+	workersShare = 0.4  // ... the rest is for discovery, logs, the runtime and those that are turned away
+	defaultMB    = 192
 	defaultFiles = 1024
 	defaultOpen  = 256
 	endMargin    = 500 * time.Millisecond // the program has ended so long before it would be killed
@@ -208,9 +212,8 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * cfg.Limits.MemoryMB * (1 << 20)))
-	}
+	memory := cmp.Or(max(cfg.Limits.MemoryMB, 0), defaultMB) * (1 << 20)
+	debug.SetMemoryLimit(int64(memoryShare * memory))
 	files := cfg.Limits.Sockets
 	if files <= 0 {
 		files = defaultFiles
@@ -227,7 +230,7 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	discovery := &httpfront.Discovery{Names: names, Core: c, Log: log}
+	discovery := &httpfront.Discovery{Names: names, Core: c, Log: log, Line: int(lineShare * memory)}
 	defer discovery.Close()
 	discovery.Follow(cfg.Discovery, cfg.Known.Seq)
 	go func() {
@@ -241,6 +244,7 @@
 		return err
 	}
 	front := httpfront.New(c, workers, site.ClassNames, describe.Handler, log)
+	front.Bodies = int64(bodiesShare * memory)
 	if len(op.GRPC.WorkerHosts) > 0 {
 		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,9 +94,9 @@
 
 	mu      sync.Mutex
 	router  *decide.Router
-	workers map[string]Worker // all that are listed, and for a while those that were
-	gone    map[string]time.Time
+	workers map[string]Worker // all that are listed
 	lives   map[decide.RequestID]*life
+	claimed map[string]bool // the ids that clients gave to their open requests
 	lastID  decide.RequestID
 	running sync.WaitGroup // lives
 }
@@ -108,16 +108,16 @@
 	releaseTries = 4
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	overdue      = 15 * time.Millisecond  // the core fails what the module has left unanswered for so long
-	goneKept     = 10 * time.Minute       // longer than any request runs
-	maxChoices   = 64                     // of a request not yet carried out
+	busyAgain    = 250 * time.Millisecond
+	maxChoices   = 64 // of a request not yet carried out
 )
 
 // New returns a Core. Its list of workers is empty until SetWorkers.
 func New(set decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
 	now := time.Now()
 	c := &Core{set: set, prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
-		workers: make(map[string]Worker), gone: make(map[string]time.Time),
-		lives: make(map[decide.RequestID]*life)}
+		workers: make(map[string]Worker),
+		lives:   make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
 	r, err := decide.New(set, seed, (*actions)(c))
 	if err != nil {
 		return nil, err
@@ -126,6 +126,21 @@
 	return c, nil
 }
 
+// Claim takes the id that a client gave to its request until free is called. It says no where the id
+// is open already: a second request with it would share what workers hold for the first.
+func (c *Core) Claim(id string) (free func(), ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.claimed[id] {
+		return nil, false
+	}
+	c.claimed[id] = true
+	return func() { c.mu.Lock(); delete(c.claimed, id); c.mu.Unlock() }, true
+}
+
+// Busy is when a client that a front has no room for may come back, 0 where none may be told.
+func (c *Core) Busy() time.Duration { return min(busyAgain, c.set.MaxRetryAfter) }
+
 // clock is the time that the module is told: Unix time at the start and steady from there on, so
 // that workers' start times compare and a stepped system clock does no harm.
 func (c *Core) clock() time.Duration { return c.epoch + time.Since(c.start) }
@@ -167,15 +182,9 @@
 		c.workers[w.ID] = w
 		list.Servers = append(list.Servers, w.Server)
 	}
-	now := time.Now()
 	for id, w := range c.workers { // guards against a list that grows for as long as the router runs
-		if w.State != decide.Gone {
-			delete(c.gone, id)
-		} else if since, ok := c.gone[id]; !ok {
-			c.gone[id] = now
-		} else if now.Sub(since) > goneKept {
+		if w.State == decide.Gone {
 			delete(c.workers, id)
-			delete(c.gone, id)
 		}
 	}
 	c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, list) })
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -76,6 +76,7 @@
 	carrier *carrier
 	answers chan core.Answer
 	answer  core.Answer
+	free    func() // gives its id back, nil = it has none
 }
 
 // Process is the life of one HTTP request at a proxy, from its head to the end of its answer.
@@ -99,6 +100,9 @@
 		if c.answer.Ended != nil {
 			c.answer.Ended(decide.Cancelled)
 		}
+		if c.free != nil {
+			c.free()
+		}
 	}()
 	for {
 		select {
@@ -208,6 +212,11 @@
 func (c *call) begin(ctx context.Context) (bool, error) {
 	c.fill()
 	q, code, err := c.Classes.Parse(c.head, c.body)
+	if err == nil {
+		if c.free, err = c.claim(c.head.Get("X-Txn")); err != nil {
+			code = http.StatusConflict
+		}
+	}
 	if err != nil {
 		c.Log.Info("bad request", "status", code, "err", err)
 		return true, c.immediate(code, nil, err.Error())
@@ -229,6 +238,15 @@
 	}
 }
 
+// claim takes the id until the call ends: the first request with it goes on untouched.
+func (c *call) claim(id string) (func(), error) {
+	free, ok := c.Core.Claim(id)
+	if !ok {
+		return nil, fmt.Errorf("X-Txn: %q is open already", id)
+	}
+	return free, nil
+}
+
 // fill adds what the core needs and a client of another API may not tell: the class comes from the
 // route, the rest is what is usual.
 func (c *call) fill() {
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -29,7 +29,6 @@
 	maxMessage = 256<<10 + 4<<10 // a body and what names it
 	maxTokens  = 1 << 30
 	maxWait    = 10 * time.Minute
-	busyAgain  = 250 * time.Millisecond
 )
 
 // Server serves gRPC clients.
@@ -76,13 +75,18 @@
 	case s.open <- struct{}{}:
 		defer func() { <-s.open }()
 	default: // guards the memory limit; nothing has run
-		return refusal(codes.ResourceExhausted, "too many calls are open", busyAgain)
+		return refusal(codes.ResourceExhausted, "too many calls are open", s.core.Busy())
 	}
 	q, err := s.parse(out.Context(), req)
 	if err != nil {
 		s.log.Info("bad request", "err", err)
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
+	free, ok := s.core.Claim(req.Id)
+	if !ok { // the first request with it goes on untouched
+		return status.Errorf(codes.AlreadyExists, "id: %q is open already", req.Id)
+	}
+	defer free()
 	a := s.core.Serve(out.Context(), q, s.exchange(req))
 	switch a.Verdict {
 	case core.Streaming:
--- /dev/null
+++ b/internal/httpfront/clients.go
@@ -0,0 +1,323 @@
+package httpfront
+
+// This file owns the connections of clients before net/http reads them: how many there are, how long
+// they may say nothing, and where one request's head and body end. Heads are handed over whole and
+// only if their framing can be read in one way. It must never change a byte of a request that passes,
+// nor close a connection on which a request has begun.
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	firstWord  = 2 * time.Second         // a new connection's first head is whole after this
+	firstBody  = 2600 * time.Millisecond // ... and its body after this, both from connecting
+	laterBody  = 2500 * time.Millisecond // a later request's body, from its head
+	idleTime   = 2500 * time.Millisecond // a connection between two requests may stand idle so long
+	silentMin  = 50 * time.Millisecond   // nobody is called silent sooner
+	turnedMost = 16                      // turned away at once, past them new connections wait
+	turnedTime = 200 * time.Millisecond  // to send what is not read before a reset eats the answer
+	headStep   = 2 << 10
+)
+
+// clients is a listener that holds at most so many connections. When they are all taken, the one that
+// has said nothing for the longest is closed for a newcomer; where every one is at work, the newcomer
+// is told to come back. Nobody is left without an answer.
+type clients struct {
+	net.Listener
+	most   int
+	again  string // the Retry-After line for who is turned away, may be empty
+	mu     sync.Mutex
+	open   int
+	silent []*clientConn // in order of their coming; some may have spoken or gone since
+	turned chan struct{} // bounds those that are being turned away
+}
+
+func newClients(l net.Listener, most int, again time.Duration) *clients {
+	line := ""
+	if again > 0 {
+		line = "Retry-After: " + seconds(again) + "\r\n"
+	}
+	return &clients{Listener: l, most: max(1, most), again: line, turned: make(chan struct{}, turnedMost)}
+}
+
+// Accept implements net.Listener.
+func (l *clients) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if x := l.admit(c); x != nil {
+			return x, nil
+		}
+		l.turned <- struct{}{}
+		go func() {
+			defer func() { <-l.turned }()
+			turnAway(c, l.again)
+		}()
+	}
+}
+
+// admit takes a connection in, or returns nil where all that there may be are at work.
+func (l *clients) admit(c net.Conn) *clientConn {
+	for {
+		wait := time.Duration(0)
+		l.mu.Lock()
+		for l.open >= l.most && len(l.silent) > 0 && wait == 0 {
+			old := l.silent[0]
+			if old.said.Load() != saidNothing {
+				l.silent = l.silent[1:]
+			} else if wait = silentMin - time.Since(old.since); wait <= 0 {
+				wait, l.silent = 0, l.silent[1:]
+				if old.said.CompareAndSwap(saidNothing, shed) {
+					l.mu.Unlock()
+					old.Close()
+					l.mu.Lock()
+				}
+			}
+		}
+		if l.open < l.most {
+			x := &clientConn{Conn: c, from: l, since: time.Now()}
+			l.open++
+			if len(l.silent) >= 2*l.most { // those that have spoken are only dropped when room is short
+				kept := l.silent[:0]
+				for _, s := range l.silent {
+					if s.said.Load() == saidNothing {
+						kept = append(kept, s)
+					}
+				}
+				clear(l.silent[len(kept):])
+				l.silent = kept
+			}
+			l.silent = append(l.silent, x)
+			l.mu.Unlock()
+			return x
+		}
+		l.mu.Unlock()
+		if wait == 0 {
+			return nil
+		}
+		time.Sleep(wait)
+	}
+}
+
+// turnAway refuses whatever a connection brings: nothing of it has been read, let alone sent on.
+func turnAway(c net.Conn, again string) {
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(turnedTime))
+	if _, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+again+"Content-Length: 0\r\nConnection: close\r\n\r\n"); err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, c, maxBody)
+}
+
+// What a connection has done so far.
+const (
+	saidNothing = iota
+	spoke
+	shed
+	closed
+)
+
+// clientConn is one client's connection.
+type clientConn struct {
+	net.Conn
+	from  *clients
+	since time.Time
+	said  atomic.Int32
+	gone  atomic.Bool
+
+	// Owned by Read, which net/http calls one at a time.
+	buf   []byte       // read and not handed over
+	ready int          // so much of it may be
+	body  int64        // of the request's body still to come
+	plain bool         // all that comes is handed over: the connection ends with this request
+	heads atomic.Int32 // that were whole
+}
+
+type connKey struct{}
+
+// withConn lets the handler find its connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// bodyBy is when the body of the request at hand must have come.
+func bodyBy(ctx context.Context) time.Time {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok && c.heads.Load() <= 1 {
+		return c.since.Add(firstBody)
+	}
+	return time.Now().Add(laterBody)
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	if c.gone.CompareAndSwap(false, true) {
+		c.said.CompareAndSwap(saidNothing, closed)
+		c.from.mu.Lock()
+		c.from.open--
+		c.from.mu.Unlock()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite lets net/http end its side first, so that an answer arrives before a reset.
+func (c *clientConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// unreadable takes the place of a head whose framing can't be trusted: net/http answers it with 400 and
+// closes, and nothing behind it is looked at.
+const unreadable = "x\r\n\r\n"
+
+// Read hands over one head or body after the other, never bytes of both.
+func (c *clientConn) Read(p []byte) (int, error) {
+	for {
+		switch {
+		case c.ready > 0:
+			n := copy(p, c.buf[:c.ready])
+			c.buf, c.ready = c.buf[n:], c.ready-n
+			if len(c.buf) == 0 {
+				c.buf = nil
+			}
+			return n, nil
+		case len(c.buf) > 0 && c.plain:
+			c.ready = len(c.buf)
+			continue
+		case c.plain:
+			return c.read(p)
+		case len(c.buf) > 0 && c.body > 0:
+			c.ready = int(min(c.body, int64(len(c.buf))))
+			c.body -= int64(c.ready)
+			continue
+		case c.body > 0:
+			n, err := c.read(p[:min(int64(len(p)), c.body)])
+			c.body -= int64(n)
+			return n, err
+		}
+		if end := headEnd(c.buf); end > 0 {
+			f, ok := requestFraming(c.buf[:end])
+			c.heads.Add(1)
+			if !ok {
+				c.buf, c.ready, c.plain = []byte(unreadable), len(unreadable), true
+				continue
+			}
+			c.ready, c.body, c.plain = end, f.length, f.chunked
+			continue
+		}
+		if len(c.buf) > maxHead { // net/http answers it with 431
+			c.plain = true
+			continue
+		}
+		if cap(c.buf)-len(c.buf) < headStep/2 {
+			c.buf = append(make([]byte, 0, 2*len(c.buf)+headStep), c.buf...)
+		}
+		n, err := c.read(c.buf[len(c.buf):cap(c.buf)])
+		c.buf = c.buf[:len(c.buf)+n]
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (c *clientConn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.said.Load() != spoke && !c.said.CompareAndSwap(saidNothing, spoke) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// headEnd is the length of the head at the start of text with the empty line that ends it, 0 where it
+// has not come yet. A head that begins with an empty line is all of that line.
+func headEnd(text []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(text[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := text[at : at+i]
+		at += i + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return at
+		}
+	}
+}
+
+// framing says how the body behind a head ends.
+type framing struct {
+	length  int64
+	told    bool // there was a length
+	chunked bool
+}
+
+// fields reads the framing of a head's fields, the lines after its first. Whatever two readers could
+// read in two ways is refused: a length and an encoding at once, a length or encoding that comes twice
+// or is odd, lines that go on in the next, spaces before the colon, a lone CR. keep, if set, is asked of
+// each whole line whether it stays; the lines that do are appended to out.
+func fields(head []byte, keep func(name []byte) bool, out []byte) (framing, []byte, bool) {
+	var f framing
+	encoded := 0
+	for len(head) > 0 {
+		i := bytes.IndexByte(head, '\n')
+		whole := head[:i+1]
+		line := bytes.TrimSuffix(head[:i], []byte("\r"))
+		head = head[i+1:]
+		if len(line) == 0 {
+			out = append(out, whole...)
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r") {
+			return f, out, false
+		}
+		if keep != nil && !keep(name) {
+			continue
+		}
+		if bytes.IndexByte(value, '\r') >= 0 {
+			return f, out, false
+		}
+		out = append(out, whole...)
+		value = bytes.Trim(value, " \t")
+		switch {
+		case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
+			n, err := strconv.ParseUint(string(value), 10, 63)
+			if err != nil || f.told {
+				return f, out, false
+			}
+			f.length, f.told = int64(n), true
+		case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if encoded++; encoded > 1 || !bytes.EqualFold(value, []byte("chunked")) {
+				return f, out, false
+			}
+			f.chunked = true
+		}
+	}
+	return f, out, !(f.told && f.chunked)
+}
+
+// requestFraming reads the framing of a request's head.
+func requestFraming(head []byte) (framing, bool) {
+	i := bytes.IndexByte(head, '\n')
+	first := bytes.TrimSuffix(head[:i], []byte("\r"))
+	if len(first) == 0 || bytes.IndexByte(first, '\r') >= 0 {
+		return framing{}, false
+	}
+	f, _, ok := fields(head[i+1:], nil, nil)
+	// An encoding is no part of HTTP/1.0 and is passed over there.
+	return f, ok && (!f.chunked || bytes.HasSuffix(first, []byte(" HTTP/1.1")))
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -19,14 +19,13 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"rowanyard/decide"
 	"rowanyard/internal/core"
 )
@@ -34,12 +33,11 @@
 // Limits of what clients may send and hold.
 const (
 	maxBody    = 256 << 10
-	maxBodies  = 40 << 20 // bytes of bodies held at once; past it new requests are refused
 	maxHead    = 16 << 10
 	maxTokens  = 1 << 30
-	headTime   = 10 * time.Second // to send a request's head, and again its body
-	idleTime   = 60 * time.Second // a client's connection may stand idle so long
-	busyAgain  = 250 * time.Millisecond
+	maxBodies  = 40 << 20               // bytes of bodies held at once, unless Bodies says otherwise
+	drainTime  = 3 * time.Second        // a body that is too long is read for so long after its answer ...
+	drainQuiet = 300 * time.Millisecond // ... and no longer than this after its last byte
 	copyBuffer = 8 << 10
 	pathReady  = "/health/ready"
 	PathChat   = "/v1/chat/completions"
@@ -64,6 +62,8 @@
 type Front struct {
 	// Bridges has a way to the workers of each other wire. Set before Serve.
 	Bridges map[string]Bridge
+	// Bodies is how many bytes of bodies are held at once; past it new requests are refused.
+	Bodies int64
 
 	core    *core.Core
 	workers *Workers
@@ -80,7 +80,7 @@
 // New returns a Front that serves the classes with the given names, in the order of their numbers.
 // pages serves what else stands on its port; nil: nothing.
 func New(c *core.Core, w *Workers, classNames []string, pages func(http.Handler) http.Handler, logger *slog.Logger) *Front {
-	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit}
+	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit, Bodies: maxBodies}
 	quiet := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
@@ -99,15 +99,15 @@
 	if pages != nil {
 		handler = pages(f)
 	}
-	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: maxHead, ErrorLog: quiet}
+	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: firstWord, IdleTimeout: idleTime,
+		MaxHeaderBytes: maxHead, ErrorLog: quiet, ConnContext: withConn}
 	return f
 }
 
 // Serve serves clients on l, at most maxConns at once, until Shutdown.
 func (f *Front) Serve(l net.Listener, maxConns int) error {
 	f.ready.Store(true)
-	err := f.server.Serve(netutil.LimitListener(l, maxConns))
+	err := f.server.Serve(newClients(l, maxConns, f.core.Busy()))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -138,27 +138,43 @@
 		}
 		return
 	}
-	if r.Method != http.MethodPost {
+	if r.Method != http.MethodPost || r.URL.Path != PathChat {
 		http.Error(w, "no such page", http.StatusNotFound)
 		return
 	}
-	if f.bodies.Add(maxBody) > maxBodies { // guards the memory limit against many large bodies at once
-		f.bodies.Add(-maxBody)
-		refuse(w.Header(), busyAgain)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	if len(r.TransferEncoding) > 0 { // its connection isn't followed any further, see clientConn
+		w.Header().Set("Connection", "close")
 	}
 	reserved := int64(maxBody)
+	if r.ContentLength >= 0 {
+		reserved = min(reserved, r.ContentLength)
+	}
 	defer func() { f.bodies.Add(-reserved) }()
+	if f.bodies.Add(reserved) > f.Bodies { // guards the memory limit against many large bodies at once
+		refuse(w.Header(), f.core.Busy())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, status, err := readBody(w, r)
-	if err == nil {
-		f.bodies.Add(int64(len(body)) - maxBody)
-		reserved = int64(len(body))
+	f.bodies.Add(int64(len(body)) - reserved)
+	reserved = int64(len(body))
+	if status == http.StatusRequestEntityTooLarge {
+		f.log.Info("bad request", "status", status, "err", err)
+		tooLarge(w, r)
+		return
 	}
 	var q decide.Request
 	if err == nil {
 		q, status, err = f.classes.Parse(r.Header, body)
 	}
+	if err == nil {
+		id := r.Header.Get(headTxn)
+		if free, ok := f.core.Claim(id); ok {
+			defer free()
+		} else { // the first request with it goes on untouched
+			status, err = http.StatusConflict, fmt.Errorf("%s: %q is open already", headTxn, id)
+		}
+	}
 	if err != nil {
 		f.log.Info("bad request", "status", status, "err", err)
 		http.Error(w, err.Error(), status)
@@ -168,35 +184,67 @@
 	for wire, bridge := range f.Bridges {
 		x.others = append(x.others, other{wire, bridge(q, r.Header.Get(headTxn), r.Header.Get("X-Lane"), body)})
 	}
-	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q, http.NewResponseController(w)}))
+	begun := func() { // the body is not needed any more
+		x.Drop()
+		f.bodies.Add(-reserved)
+		reserved = 0
+	}
+	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q, http.NewResponseController(w), begun}))
 	f.proxy.ServeHTTP(w, r)
 }
 
+// seconds is a time as Retry-After has it.
+func seconds(t time.Duration) string { return strconv.FormatFloat(t.Seconds(), 'f', 3, 64) }
+
 func refuse(h http.Header, after time.Duration) {
 	if after > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", seconds(after))
 	}
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	if r.ContentLength > maxBody {
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body: %d bytes", r.ContentLength)
+	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(headTime))
+	_ = control.SetReadDeadline(bodyBy(r.Context()))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var buf bytes.Buffer
 	if n := r.ContentLength; n > 0 && n <= maxBody {
 		buf.Grow(int(n) + bytes.MinRead)
 	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
-	var large *http.MaxBytesError
+	n, err := buf.ReadFrom(io.LimitReader(r.Body, maxBody+1))
 	switch {
-	case errors.As(err, &large):
-		return nil, http.StatusRequestEntityTooLarge, err
+	case n > maxBody:
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body: over %d bytes", maxBody)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 	case err != nil:
 		return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	}
 	return buf.Bytes(), 0, nil
 }
 
+// tooLarge answers a body that is too long, and reads on for a while: closing with bytes unread makes a
+// reset, which can eat the answer before its client has read it.
+func tooLarge(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusRequestEntityTooLarge)
+	if control.Flush() != nil {
+		return
+	}
+	junk := make([]byte, 32<<10)
+	for end := time.Now().Add(drainTime); time.Now().Before(end); {
+		_ = control.SetReadDeadline(time.Now().Add(drainQuiet))
+		if _, err := r.Body.Read(junk); err != nil {
+			return
+		}
+	}
+}
+
 // Classes are the numbers of the classes by their names.
 type Classes map[string]int
 
@@ -225,6 +273,9 @@
 	if err := json.Unmarshal(body, &b); err != nil {
 		return q, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	}
+	if len(b.Messages) == 0 {
+		return q, http.StatusBadRequest, errors.New("body: no messages")
+	}
 	if q.MaxOutput == 0 && b.Max != nil && *b.Max > 0 && *b.Max <= maxTokens {
 		q.MaxOutput = int(*b.Max)
 	}
@@ -234,6 +285,11 @@
 // parseHead reads the values that decisions rest on from a request's head.
 func (c Classes) parseHead(h http.Header) (decide.Request, error) {
 	var q decide.Request
+	for _, name := range []string{headTxn, "X-Lane", "X-Entity", headLeft, "X-Resent", "X-Estimate", "X-Labels"} {
+		if len(h.Values(name)) > 1 { // which one counts would be anybody's guess
+			return q, fmt.Errorf("%s: %d times", name, len(h.Values(name)))
+		}
+	}
 	if id := h.Get(headTxn); !ValidID(id) {
 		return q, fmt.Errorf("%s: %q", headTxn, id)
 	}
@@ -242,8 +298,8 @@
 		return q, fmt.Errorf("X-Lane: unknown class %q", h.Get("X-Lane"))
 	}
 	q.Class = class
-	left, err := strconv.ParseInt(h.Get(headLeft), 10, 64)
-	if err != nil || left < 0 || left > math.MaxInt32 {
+	left, err := strconv.ParseUint(h.Get(headLeft), 10, 31)
+	if err != nil {
 		return q, fmt.Errorf("%s: %q", headLeft, h.Get(headLeft))
 	}
 	q.TimeLeft = time.Duration(left) * time.Millisecond
@@ -337,6 +393,7 @@
 	x      *Exchange
 	q      decide.Request
 	client *http.ResponseController
+	begun  func() // the answer has begun
 }
 
 // roundTripper hands a request to the core and makes a response of its final answer.
@@ -353,8 +410,13 @@
 	switch a.Verdict {
 	case core.Streaming:
 		s := a.Stream.(Stream)
-		res.StatusCode, res.Header, res.ContentLength = http.StatusOK, s.Header().Clone(), -1
-		res.Header.Del("Content-Length")
+		got.begun()
+		res.StatusCode, res.ContentLength = http.StatusOK, -1
+		for _, name := range []string{"Content-Type", "Cache-Control"} { // framing and load reports are the worker's own
+			if v := s.Header().Get(name); v != "" {
+				res.Header.Set(name, v)
+			}
+		}
 		res.Body = &relay{s, a.Ended, got.client, t.f.writes}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -5,7 +5,6 @@
 // attempt a second time on its own, nor let a library do so.
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -18,6 +17,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +30,7 @@
 	idlePerHost = 96              // idle connections kept to a worker
 	StallLimit  = 4 * time.Second // a stream without an event for so long is broken
 	answerLimit = 64 << 10        // bytes read of an answer that is no stream
+	sendAgain   = 3               // connections that had ended are passed over so often
 	pathHolds   = "/v1/holds/"
 	pathStats   = "/stats"
 	turnedAway  = "X-Turned-Away"
@@ -50,46 +51,44 @@
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if w.open.Add(1) > w.limit { // guards the limit of descriptors: the connection counts as not come up
-				w.open.Add(-1)
-				return nil, errors.New("too many connections to workers")
+			if w.open.Add(1) > w.limit { // guards the limit of descriptors: idle ones make room
+				w.transport.CloseIdleConnections()
+				if w.open.Load() > w.limit {
+					w.open.Add(-1)
+					return nil, errTooMany
+				}
 			}
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				w.open.Add(-1)
 				return nil, err
 			}
-			return &countedConn{Conn: c, open: &w.open}, nil
+			return &workerConn{Conn: c, open: &w.open}, nil
 		},
-		DisableCompression: true, MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression: true, MaxIdleConnsPerHost: max(2, min(idlePerHost, maxConns/4)), MaxIdleConns: max(4, maxConns*2/3),
 		IdleConnTimeout: time.Duration(idleShare * float64(connIdle)),
-		WriteBufferSize: 16 << 10,
+		WriteBufferSize: 8 << 10, MaxResponseHeaderBytes: answerHead,
 	}
 	return w
 }
 
-type countedConn struct {
-	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
-}
-
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
 // Exchange is one client's request as it is sent to workers over HTTP. It is a core.Carrier.
 type Exchange struct {
 	Workers     *Workers
 	Method, URI string
 	Head        http.Header
-	Body        []byte
+	Body        []byte // what is sent, until Drop
+	mu          sync.Mutex
 	others      []other
 }
 
+// Drop lets go of the body: an answer has begun, and nothing more is sent for the request.
+func (x *Exchange) Drop() {
+	x.mu.Lock()
+	x.Body, x.others = nil, nil
+	x.mu.Unlock()
+}
+
 // other carries the request to the workers of another wire.
 type other struct {
 	wire string
@@ -101,12 +100,14 @@
 type bodyReader struct {
 	r       *bytes.Reader
 	allowed func() bool
-	drained atomic.Bool // the transport has had the last byte
+	touched atomic.Bool // the transport has begun to read it
+	drained atomic.Bool // and has had the last byte
 }
 
 var errWithdrawn = errors.New("the worker drains or is gone")
 
 func (b *bodyReader) Read(p []byte) (int, error) {
+	b.touched.Store(true)
 	// Guards against sending to a worker that began to drain between the choice and the dial.
 	if int64(b.r.Len()) == b.r.Size() && !b.allowed() {
 		return 0, errWithdrawn
@@ -122,25 +123,44 @@
 
 // Try implements core.Carrier.
 func (x *Exchange) Try(ctx context.Context, a core.Attempt) core.Result {
-	for _, o := range x.others {
+	x.mu.Lock()
+	text, others := x.Body, x.others
+	x.mu.Unlock()
+	for _, o := range others {
 		if o.wire == a.To.Wire {
 			return o.Try(ctx, a)
 		}
 	}
+	if text == nil {
+		return core.Result{Status: decide.Moot}
+	}
+	for again := sendAgain; ; again-- {
+		res, unsent := x.send(ctx, a, text)
+		if !unsent || again == 0 || ctx.Err() != nil {
+			return res
+		}
+	}
+}
+
+// send makes one attempt. unsent says that nothing of it was written, because the connection at hand
+// had ended or serves no further use: the worker has no part in that.
+func (x *Exchange) send(ctx context.Context, a core.Attempt, text []byte) (result core.Result, unsent bool) {
 	w := x.Workers
-	body := &bodyReader{r: bytes.NewReader(x.Body), allowed: a.Allowed}
-	var wrote, broke atomic.Bool
+	body := &bodyReader{r: bytes.NewReader(text), allowed: a.Allowed}
+	var wrote, broke, reused, came atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) },
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			wrote.Store(i.Err == nil)
 			broke.Store(i.Err != nil)
 		},
+		GotFirstResponseByte: func() { came.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(traced, x.Method, "http://"+a.To.Addr+x.URI, body)
 	if err != nil {
-		return core.Result{Status: decide.Moot, Err: err}
+		return core.Result{Status: decide.Moot, Err: err}, false
 	}
-	req.ContentLength = int64(len(x.Body))
+	req.ContentLength = int64(len(text))
 	for _, name := range []string{"Content-Type", "Accept", headTxn, "X-Lane", "X-Entity", "X-Labels", "X-Estimate", "X-Resent"} {
 		if v := x.Head.Values(name); len(v) > 0 {
 			req.Header[name] = v
@@ -152,15 +172,17 @@
 		// Whether it may have run turns on the request's last byte. Where the transport has had it
 		// and told nothing of a failed write, it may have been on its way.
 		ran := wrote.Load() || body.drained.Load() && !broke.Load()
-		return core.Result{Status: failure(ctx, err, ran), Err: err}
+		unsent = errors.Is(err, errUnsent) || reused.Load() && !body.touched.Load()
+		// What has begun to answer has fetched the state, whatever it went on with.
+		return core.Result{Status: failure(ctx, err, ran), NoState: !a.Read && ran && (came.Load() || errors.Is(err, errSpoilt)), Err: err}, unsent
 	}
-	return w.answer(ctx, a, res)
+	return w.answer(ctx, a, res), false
 }
 
 // failure names the end of an attempt without an answer.
 func failure(ctx context.Context, err error, ran bool) decide.Status {
 	switch {
-	case errors.Is(err, errWithdrawn), !ran && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(err, errWithdrawn), errors.Is(err, errTooMany), !ran && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return decide.Moot
 	case !ran:
 		return decide.ConnectFailed
@@ -173,12 +195,12 @@
 // answer turns a worker's answer into a result.
 func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response) core.Result {
 	if res.StatusCode == http.StatusOK && !a.Read {
-		s := &stream{res: res, in: bufio.NewReaderSize(res.Body, 4<<10)}
-		if _, err := s.in.Peek(1); err != nil { // it broke before its first event
-			res.Body.Close()
-			return core.Result{Status: failure(ctx, err, true), Err: err}
+		s := &stream{res: res}
+		s.stall = time.AfterFunc(firstEvent, func() { res.Body.Close() })
+		if err := s.open(); err != nil { // it broke, or makes no sense, before its first event was whole
+			s.Close()
+			return core.Result{Status: failure(ctx, err, true), NoState: true, Err: err}
 		}
-		s.stall = time.AfterFunc(time.Hour, func() { res.Body.Close() })
 		s.stall.Stop()
 		return core.Result{Stream: s}
 	}
@@ -254,7 +276,12 @@
 	if err != nil {
 		return decide.Probed{}, err
 	}
-	return parseLoad(string(text))
+	p, err := parseLoad(string(text))
+	if err != nil { // it has answered all the same, that counts
+		w.log.Info("load report", "worker", at.ID, "err", err)
+		return decide.Probed{Queue: -1, Tokens: -1}, nil
+	}
+	return p, nil
 }
 
 // call makes a call without a body.
@@ -304,19 +331,71 @@
 // stream is a worker's answer from its first event on.
 type stream struct {
 	res   *http.Response
-	in    *bufio.Reader
+	first []byte // read and not passed on
+	scan  eventScan
 	stall *time.Timer
 }
 
 // Header is the head of the worker's answer.
 func (s *stream) Header() http.Header { return s.res.Header }
 
-// Read passes on what comes. A worker that says nothing for StallLimit after an event is taken for
-// gone: a machine that vanishes leaves its connections open and silent, and the client must not wait.
+// open reads until a whole first event has come that makes sense.
+func (s *stream) open() error {
+	buf := make([]byte, 0, 1<<10)
+	from := 0 // of the blocks that hold no data, comments for one
+	for {
+		n, err := s.res.Body.Read(buf[len(buf):cap(buf)])
+		at := len(buf)
+		buf = buf[:at+n]
+		_, blank, bad := s.scan.feed(buf[at:])
+		if bad != nil {
+			return bad
+		}
+		if blank > 0 {
+			ok, bad := whole(buf[from : at+blank])
+			if bad != nil {
+				return bad
+			}
+			if from = at + blank; ok {
+				s.first = buf
+				return nil
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case len(buf) >= maxEvent:
+			return spoilt("no event in %d bytes", len(buf))
+		}
+		if cap(buf)-len(buf) < 256 {
+			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		}
+	}
+}
+
+// Read passes on what comes, as far as it makes sense. A worker that says nothing for StallLimit after an
+// event is taken for gone: a machine that vanishes leaves its connections open and silent, and the client
+// must not wait.
 func (s *stream) Read(p []byte) (int, error) {
+	if len(s.first) > 0 {
+		n := copy(p, s.first)
+		if s.first = s.first[n:]; len(s.first) == 0 {
+			s.first = nil
+		}
+		return n, nil
+	}
 	s.stall.Reset(StallLimit)
-	n, err := s.in.Read(p)
+	n, err := s.res.Body.Read(p)
 	s.stall.Stop()
+	n, _, bad := s.scan.feed(p[:n])
+	if bad != nil {
+		return n, bad
+	}
+	if err == io.EOF && s.scan.count > 0 {
+		return n, spoilt("it ends inside a line")
+	}
 	return n, err
 }
 
