--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -138,6 +138,8 @@
 		}
 		return
 	}
+	// Guards against a body that stops halfway: net/http waits for its rest before it sends any answer.
+	_ = http.NewResponseController(w).SetReadDeadline(bodyBy(r.Context()))
 	if r.Method != http.MethodPost || r.URL.Path != PathChat {
 		http.Error(w, "no such page", http.StatusNotFound)
 		return
@@ -206,9 +208,6 @@
 	if r.ContentLength > maxBody {
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body: %d bytes", r.ContentLength)
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(bodyBy(r.Context()))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var buf bytes.Buffer
 	if n := r.ContentLength; n > 0 && n <= maxBody {
 		buf.Grow(int(n) + bytes.MinRead)
@@ -218,10 +217,13 @@
 	case n > maxBody:
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body: over %d bytes", maxBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline stays: net/http would wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
 		return nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 	case err != nil:
 		return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return buf.Bytes(), 0, nil
 }
 
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -35,23 +35,30 @@
 
 // bed is a front before a core with one reader and one writer, both played by worker.
 func bed(t *testing.T, worker http.HandlerFunc) (*httptest.Server, *core.Core) {
+	t.Helper()
+	s := httptest.NewServer(worker)
+	t.Cleanup(s.Close)
+	f, c := before(t, s.Listener.Addr().String())
+	front := httptest.NewServer(f)
+	t.Cleanup(front.Close)
+	return front, c
+}
+
+// before is a front before a core whose one reader and one writer are at addr.
+func before(t *testing.T, addr string) (*Front, *core.Core) {
 	t.Helper()
 	w := NewWorkers(250*time.Millisecond, 15*time.Second, 100, quiet)
 	c, err := core.New(decide.Settings{Fronts: 1, Tick: 2 * time.Millisecond, MaxAttempts: 4, CanCancel: true, PinLimit: 300 * time.Millisecond,
-		Kinds:   []decide.Kind{{Role: decide.Reader, MemoryTokens: 1e5}, {Role: decide.Writer, MemoryTokens: 1e5}},
-		Classes: []decide.Class{{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: decide.Unsafe}}}, 1, w, quiet)
+		MaxRetryAfter: 500 * time.Millisecond,
+		Kinds:         []decide.Kind{{Role: decide.Reader, MemoryTokens: 1e5}, {Role: decide.Writer, MemoryTokens: 1e5}},
+		Classes:       []decide.Class{{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: decide.Unsafe}}}, 1, w, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := httptest.NewServer(worker)
-	t.Cleanup(s.Close)
-	addr := s.Listener.Addr().String()
 	c.SetWorkers(true, []core.Worker{{Addr: addr, Server: decide.Server{ID: "r", Kind: 0}}, {Addr: addr, Server: decide.Server{ID: "w", Kind: 1}}})
 	f := New(c, w, []string{"chat"}, nil, quiet)
 	f.writes = 100 * time.Millisecond
-	front := httptest.NewServer(f)
-	t.Cleanup(front.Close)
-	return front, c
+	return f, c
 }
 
 // twoStages answers the first call as a reader and leaves the second to write.
--- /dev/null
+++ b/internal/httpfront/guard_test.go
@@ -0,0 +1,404 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+)
+
+// listening serves a front on a real port with room for so many clients.
+func listening(t *testing.T, f *Front, most int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go f.Serve(l, most)
+	t.Cleanup(func() { f.server.Close() })
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, addr, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second)) // a hang is a failure, not a wait
+	io.WriteString(c, text)
+	return c
+}
+
+// message is a whole request on the wire, with these lines in place of its length.
+func message(id, framing, body string) string {
+	var b strings.Builder
+	h := head()
+	h.Set("X-Txn", id)
+	h.Write(&b)
+	return "POST " + PathChat + "?q=1 HTTP/1.1\r\nHost: x\r\n" + b.String() + framing + "\r\n" + body
+}
+
+func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+// A body may hide another request where two readers read its length in two ways. Such a request gets an
+// error, nothing is sent for it, and nothing behind it is taken for a request.
+func TestUnclearFramingIsRefused(t *testing.T) {
+	f, _ := before(t, "127.0.0.1:1")
+	addr := listening(t, f, 50)
+	hidden := message("hidden", length(bodyText), bodyText)
+	whole := length(bodyText)
+	for name, text := range map[string]string{
+		"both":            message("a", whole+"Transfer-Encoding: chunked\r\n", "0\r\n\r\n"+hidden),
+		"both, other way": message("a", "Transfer-Encoding: chunked\r\n"+whole, "0\r\n\r\n"+hidden),
+		"both, folded":    message("a", whole+"Transfer-Encoding:\r\n chunked\r\n", hidden),
+		"space":           message("a", whole+"Transfer-Encoding : chunked\r\n", bodyText+hidden),
+		"twice":           message("a", whole+whole, bodyText+hidden),
+		"two lengths":     message("a", whole+"Content-Length: 3\r\n", bodyText+hidden),
+		"plus":            message("a", "Content-Length: +10\r\n", bodyText),
+		"negative":        message("a", "Content-Length: -10\r\n", bodyText),
+		"no number":       message("a", "Content-Length: ten\r\n", bodyText),
+		"beyond numbers":  message("a", "Content-Length: 99999999999999999999\r\n", bodyText),
+		"huge":            message("a", "Content-Length: 9000000000000000000\r\n", "x"),
+		"odd encoding":    message("a", "Transfer-Encoding: identity, chunked\r\n", "0\r\n\r\n"+hidden),
+		"old version":     strings.Replace(message("a", "Transfer-Encoding: chunked\r\n", hidden), "HTTP/1.1", "HTTP/1.0", 1),
+		"empty line":      "\r\n" + hidden,
+		"two ids":         message("a", "X-Txn: b\r\nConnection: close\r\n"+whole, bodyText),
+		"endless head":    "POST / HTTP/1.1\r\nX: " + strings.Repeat("x", 4*maxHead),
+		"noise":           "\x16\x03\x01\x00\r\n\r\n" + hidden,
+	} {
+		in := bufio.NewReader(dial(t, addr, text))
+		res, err := http.ReadResponse(in, nil)
+		if err != nil || res.StatusCode < 400 || res.StatusCode == 502 || res.StatusCode == 503 {
+			t.Errorf("%s: %v %v", name, res, err)
+			continue
+		}
+		io.Copy(io.Discard, res.Body)
+		if more, err := http.ReadResponse(in, nil); err == nil {
+			t.Errorf("%s: a second answer %v", name, more)
+		}
+	}
+}
+
+// What is guarded must not get lost: requests right behind one another are answered one by one.
+func TestRequestsInOneWriteAreServed(t *testing.T) {
+	answers := []string{"202 X\r\nContent-Length: 2\r\n\r\n{}", "200 X\r\nContent-Length: 10\r\n\r\ndata: {}\n\n"}
+	w, _ := rawWorker(t, func(n int) string { return "HTTP/1.1 " + answers[n%2] })
+	f, _ := before(t, w)
+	both := message("one", length(bodyText), bodyText) + message("two", length(bodyText), bodyText)
+	in := bufio.NewReader(dial(t, listening(t, f, 50), both))
+	for range 2 {
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(res.Body); res.StatusCode != 200 || string(text) != "data: {}\n\n" {
+			t.Fatal(res, string(text), err)
+		}
+	}
+}
+
+// Connections that say nothing, stop halfway or stand idle are closed by themselves, soon.
+func TestWhoSaysNothingIsClosed(t *testing.T) {
+	f, _ := before(t, "127.0.0.1:1")
+	addr := listening(t, f, 50)
+	begun := map[string]net.Conn{}
+	for name, text := range map[string]string{"silent": "", "half a head": "POST /v1", "half a body": message("a", "Content-Length: 99\r\n", "{"),
+		"half a body nowhere": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n", "idle": "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		begun[name] = dial(t, addr, text)
+	}
+	for name, c := range begun {
+		text, err := io.ReadAll(c)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: still open", name)
+		}
+		if name == "half a body" && !strings.HasPrefix(string(text), "HTTP/1.1 408 ") {
+			t.Errorf("%s: %q", name, text)
+		}
+	}
+}
+
+// When all connections are taken, those that say nothing make room for those that ask; where all are at
+// work, the newcomer is told to come back.
+func TestFullHouse(t *testing.T) {
+	go1, at := make(chan struct{}), make(chan struct{}, 9)
+	w, _ := rawWorker(t, func(int) string { at <- struct{}{}; <-go1; return "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" })
+	f, _ := before(t, w)
+	addr := listening(t, f, 2)
+	for range 6 {
+		dial(t, addr, "")
+	}
+	ask := func(text string) int {
+		res, err := http.ReadResponse(bufio.NewReader(dial(t, addr, text)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.StatusCode == 503 && res.Header.Get("Retry-After") != "0.250" {
+			t.Errorf("%v", res.Header)
+		}
+		return res.StatusCode
+	}
+	if code := ask("GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); code != 200 {
+		t.Errorf("among silent ones: %d", code)
+	}
+	first := dial(t, addr, message("a", length(bodyText), bodyText))
+	<-at
+	if code := ask(message("a", length(bodyText), bodyText)); code != 409 { // an open id
+		t.Errorf("the id of an open request: %d", code)
+	}
+	dial(t, addr, message("b", length(bodyText), bodyText))
+	<-at
+	if code := ask(message("c", length(bodyText), bodyText)); code != 503 {
+		t.Errorf("among those at work: %d", code)
+	}
+	close(go1)
+	if res, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
+		t.Errorf("the first: %v %v", res, err)
+	}
+}
+
+// A client that sends all of a body that is too long before it reads must find the answer there, not a reset.
+func TestLargeBodyIsAnsweredBeforeTheConnectionEnds(t *testing.T) {
+	f, _ := before(t, "127.0.0.1:1")
+	addr := listening(t, f, 50)
+	long := strings.Repeat("x", 8<<20)
+	for name, text := range map[string]string{"told": message("a", length(long), long),
+		"chunked": message("a", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long))} {
+		if res, err := http.ReadResponse(bufio.NewReader(dial(t, addr, text)), nil); err != nil || res.StatusCode != 413 {
+			t.Errorf("%s: %v %v", name, res, err)
+		}
+	}
+}
+
+// rawWorker answers the n-th request with the bytes of say and then leaves the connection as it is. It
+// also counts the connections.
+func rawWorker(t *testing.T, say func(n int) string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var asked, conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					if r.Method != http.MethodPost {
+						io.WriteString(c, "HTTP/1.1 204 X\r\n\r\n")
+						continue
+					}
+					io.WriteString(c, say(int(asked.Add(1))-1))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), &conns
+}
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func attempt(addr string) (*Exchange, core.Attempt) {
+	return &Exchange{Workers: NewWorkers(time.Second, 15*time.Second, 100, quiet), Method: http.MethodPost, URI: PathChat, Head: head(), Body: []byte(bodyText)},
+		core.Attempt{To: core.Worker{Addr: addr}, Wait: time.Minute, Allowed: func() bool { return true }}
+}
+
+// What is spoilt before a whole first event is a failed attempt that has fetched the state; a good stream
+// passes unchanged, whatever comes before or behind it.
+func TestOpenings(t *testing.T) {
+	const one, end = "data: {\"a\":1}\n\n", "data: [DONE]\n\n"
+	good := chunk(one) + chunk(": X-Pressure: \x00\xff\n\n") + chunk(end) + "0\r\n\r\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"good":            {chunkedHead + good, one + ": X-Pressure: \x00\xff\n\n" + end},
+		"byte by byte":    {chunkedHead + chunk(one[:3]) + chunk(one[3:]) + "0\r\n\r\n", one},
+		"comment first":   {chunkedHead + chunk(": hello\n\n") + chunk(one) + "0\r\n\r\n", ": hello\n\n" + one},
+		"1xx ahead":       {strings.Repeat("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", 9) + chunkedHead + good, one + ": X-Pressure: \x00\xff\n\n" + end},
+		"load report":     {strings.Replace(chunkedHead, "\r\n\r\n", "\r\nx-pressure: \x00\x01\r\n\r\n", 1) + good, one + ": X-Pressure: \x00\xff\n\n" + end},
+		"answer behind":   {chunkedHead + good + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", one + ": X-Pressure: \x00\xff\n\n" + end},
+		"noise":           {"\x00\x01\x02 noise\r\n\r\n", ""},
+		"head with noise": {"HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\n", ""},
+		"endless head":    {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", answerHead), ""},
+		"slow head":       {"HTTP/1.1 200 OK\r\nX: y", ""},
+		"endless 1xx":     {strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", answerHead), ""},
+		"other protocol":  {"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + one, ""},
+		"both lengths":    {strings.Replace(chunkedHead, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\n", 1) + good, ""},
+		"noise in chunk":  {chunkedHead + chunk("\x01\x02\x03"), ""},
+		"no event":        {chunkedHead + chunk("data: noise\n\n"), ""},
+		"half an event":   {chunkedHead + chunk("data: {\"a\""), ""},
+		"first event cut": {chunkedHead + chunk("data: {\"a\":1}\n") + "0\r\n\r\n", ""},
+		"endless event":   {chunkedHead + strings.Repeat(chunk("data: "+strings.Repeat("x", 1000)+"\n"), 80), ""},
+		"3 GB":            {chunkedHead + "c0000000\r\n" + one, ""},
+		"no chunk":        {chunkedHead + "zz\r\n" + one, ""},
+	} {
+		addr, _ := rawWorker(t, func(int) string { return c.text })
+		x, a := attempt(addr)
+		res := x.Try(context.Background(), a)
+		if c.want == "" {
+			if res.Status != decide.Reset || !res.NoState {
+				t.Errorf("%s: %+v", name, res)
+			}
+			continue
+		}
+		if res.Status != 0 {
+			t.Errorf("%s: %+v", name, res)
+			continue
+		}
+		if text, err := io.ReadAll(res.Stream.(Stream)); err != nil || string(text) != c.want {
+			t.Errorf("%s: %q %v", name, text, err)
+		}
+	}
+}
+
+// A stream that is spoilt after its first event ends the client's connection without the last chunk, and
+// nothing of the noise passes.
+func TestSpoiltLaterBreaksTheClients(t *testing.T) {
+	for name, bad := range map[string]string{"size": "zz\r\n", "claim": "c0000000\r\ndata: xxxx", "misfit": "3\r\ndata: {}\r\n",
+		"noise": chunk("\x01\x02\x03"), "control": chunk("data: \x00\n\n"), "inside a line": chunk("data: {") + "0\r\n\r\n"} {
+		w, _ := rawWorker(t, func(n int) string {
+			if n == 0 {
+				return "HTTP/1.1 202 X\r\nContent-Length: 2\r\n\r\n{}"
+			}
+			return chunkedHead + chunk("data: {}\n\n") + bad
+		})
+		f, c := before(t, w)
+		res, err := http.ReadResponse(bufio.NewReader(dial(t, listening(t, f, 9), message("a", length(bodyText), bodyText))), nil)
+		if err != nil || res.StatusCode != 200 && res.StatusCode != 502 {
+			t.Fatal(name, res, err)
+		}
+		if res.StatusCode == 502 { // the noise came in one piece with the first event: nothing had passed on
+			continue
+		}
+		if text, err := io.ReadAll(res.Body); err == nil || strings.ContainsAny(string(text), "\x00\x01") {
+			t.Errorf("%s: %q %v", name, text, err)
+		}
+		c.Wait(context.Background())
+	}
+}
+
+// An answer behind an answer must not be taken for the next request's: its connection serves no further
+// use, while a clean one does.
+func TestOnlyCleanConnectionsServeAgain(t *testing.T) {
+	answer := chunkedHead + chunk("data: {}\n\n") + "0\r\n\r\n"
+	for _, extra := range []string{"", "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"} {
+		addr, conns := rawWorker(t, func(int) string { return answer + extra })
+		x, a := attempt(addr)
+		for range 3 {
+			res := x.Try(context.Background(), a)
+			if res.Status != 0 {
+				t.Fatalf("%+v", res)
+			}
+			s := res.Stream.(Stream)
+			io.ReadAll(s)
+			s.Close()
+		}
+		if n := conns.Load(); n != 1 && extra == "" || n != 3 && extra != "" {
+			t.Errorf("%d connections, extra %q", n, extra)
+		}
+	}
+}
+
+// Past the limit of connections idle ones make room; where none is idle, the attempt was never made and
+// no worker is to blame.
+func TestNoRoomForAnotherConnection(t *testing.T) {
+	free, at := make(chan struct{}), make(chan struct{}, 1)
+	defer close(free)
+	slow, _ := rawWorker(t, func(int) string { at <- struct{}{}; <-free; return "" })
+	quick, _ := rawWorker(t, func(int) string { return "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" })
+	w := NewWorkers(time.Second, 15*time.Second, 1, quiet)
+	x, a := attempt(quick)
+	x.Workers = w
+	if res := x.Try(context.Background(), a); res.Status != decide.Errored {
+		t.Fatalf("%+v", res)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan core.Result)
+	go func() { // the idle connection to the quick one makes room
+		to := a
+		to.To.Addr = slow
+		done <- x.Try(ctx, to)
+	}()
+	<-at
+	if res := x.Try(context.Background(), a); res.Status != decide.Moot {
+		t.Errorf("%+v", res)
+	}
+	stop()
+	if res := <-done; res.Status != decide.Cancelled {
+		t.Errorf("%+v", res)
+	}
+}
+
+// Our reading of a request's framing must agree with net/http's wherever both take it.
+func FuzzRequestFraming(f *testing.F) {
+	cuts(f, message("a", length(bodyText), ""))
+	cuts(f, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n")
+	f.Add("POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+	f.Add("POST / HTTP/1.1\nHost: x\ncontent-length:\t7\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		end := headEnd([]byte(text))
+		if end == 0 {
+			return
+		}
+		ours, ok := requestFraming([]byte(text[:end]))
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text[:end])))
+		if !ok || err != nil {
+			return
+		}
+		if chunked := len(r.TransferEncoding) > 0; chunked != ours.chunked || !chunked && r.ContentLength != ours.length {
+			t.Errorf("%q: %+v, net/http: %d %v", text[:end], ours, r.ContentLength, r.TransferEncoding)
+		}
+	})
+}
+
+// However a stream is cut into reads, its chunks and events are seen alike.
+func FuzzStream(f *testing.F) {
+	cuts(f, chunk("data: {\"a\":1}\n\n: note\r\n\r\n")+chunk("data: [DONE]\n\n")+"0\r\nT: x\r\n\r\nbeyond")
+	f.Fuzz(func(t *testing.T, text string) {
+		var once, twice chunkScan
+		n, end, err := once.feed([]byte(text))
+		sum, last, bad := 0, false, error(nil)
+		for i := 0; i < len(text) && !last && bad == nil; i++ {
+			var k int
+			k, last, bad = twice.feed([]byte(text[i : i+1]))
+			sum += k
+		}
+		if n != sum || end != last || (err == nil) != (bad == nil) || n > len(text) {
+			t.Errorf("%q: %d %v %v, byte by byte %d %v %v", text, n, end, err, sum, last, bad)
+		}
+		var whole, parts eventScan
+		n, _, err = whole.feed([]byte(text))
+		sum, bad = 0, nil
+		for i := 0; i < len(text) && bad == nil; i++ {
+			var k int
+			k, _, bad = parts.feed([]byte(text[i : i+1]))
+			sum += k
+		}
+		if n != sum || (err == nil) != (bad == nil) {
+			t.Errorf("%q: events %d %v, byte by byte %d %v", text, n, err, sum, bad)
+		}
+	})
+}
