Records, gRPC connections and open calls are bounded by time and by the limits

Seen: prefixes that a record takes for forgotten after 60 s stayed until 4,096 more came (decide.go put); connections to gRPC servers stayed for good (grpcfront/workers.go conn); max_open was 256 whatever the memory; gRPC clients that say nothing were held for two minutes by the library. Ruled out: a change in decisions (match passes over forgotten ones already).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -24,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
 	"rowanyard/internal/core"
@@ -53,11 +54,12 @@
 	memoryShare  = 0.7  // of the memory limit: where the collector begins to work harder
 	bodiesShare  = 0.12 // of it: what clients' bodies may hold at once, and
 	lineShare    = 0.04 // a line of discovery
-	clientsShare = 0.45 // of the sockets,
+	clientsShare = 0.45 // of the sockets, in equal parts for the fronts that are on
 	workersShare = 0.4  // ... the rest is for discovery, logs, the runtime and those that are turned away
 	defaultMB    = 192
 	defaultFiles = 1024
-	defaultOpen  = 256
+	openKB       = 512 // of the memory limit for each call that may be open, where the operator sets none
+	mostOpen     = 256
 	endMargin    = 500 * time.Millisecond // the program has ended so long before it would be killed
 	killMargin   = 700 * time.Millisecond // the kill comes no sooner than the longest deadline and this
 	leastEnd     = 3 * time.Second
@@ -68,7 +70,7 @@
 	GRPC struct {
 		Listen      string   `json:"listen"`
 		WorkerHosts []string `json:"worker_hosts"` // workers that speak gRPC, "*" = all of them
-		MaxOpen     int      `json:"max_open"`     // calls open at once
+		MaxOpen     int      `json:"max_open"`     // calls open at once, 0 = what the limits allow
 	} `json:"grpc"`
 	ExtProc struct {
 		Listen            string `json:"listen"`
@@ -89,11 +91,9 @@
 	return ""
 }
 
-func loadOperator() (operator, error) {
+func loadOperator(memory float64) (operator, error) {
 	o := operator{}
-	o.ExtProc.MaxOpen = defaultOpen
 	o.ExtProc.DestinationHeader = extproc.DestinationHeader
-	o.GRPC.MaxOpen = defaultOpen
 	path := os.Getenv("ROWANYARD_OPERATOR")
 	if path == "" {
 		return o, nil
@@ -112,9 +112,12 @@
 			return o, fmt.Errorf("%s: %s.listen: %w", path, name, err)
 		}
 	}
-	if o.GRPC.MaxOpen < 1 || o.ExtProc.MaxOpen < 1 {
+	if o.GRPC.MaxOpen < 0 || o.ExtProc.MaxOpen < 0 {
 		return o, fmt.Errorf("%s: max_open: %d and %d, want at least 1", path, o.GRPC.MaxOpen, o.ExtProc.MaxOpen)
 	}
+	most := max(1, min(mostOpen, int(memory/(openKB<<10))))
+	o.GRPC.MaxOpen = cmp.Or(o.GRPC.MaxOpen, most)
+	o.ExtProc.MaxOpen = cmp.Or(o.ExtProc.MaxOpen, int64(most))
 	return o, nil
 }
 
@@ -204,7 +207,8 @@
 	if err != nil {
 		return err
 	}
-	op, err := loadOperator()
+	memory := cmp.Or(max(cfg.Limits.MemoryMB, 0), defaultMB) * (1 << 20)
+	op, err := loadOperator(memory)
 	if err != nil {
 		return err
 	}
@@ -212,7 +216,6 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
-	memory := cmp.Or(max(cfg.Limits.MemoryMB, 0), defaultMB) * (1 << 20)
 	debug.SetMemoryLimit(int64(memoryShare * memory))
 	files := cfg.Limits.Sockets
 	if files <= 0 {
@@ -248,6 +251,13 @@
 	if len(op.GRPC.WorkerHosts) > 0 {
 		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
 	}
+	fronts := 1
+	for _, addr := range []string{op.GRPC.Listen, op.ExtProc.Listen} {
+		if addr != "" {
+			fronts++
+		}
+	}
+	clients := max(1, int(clientsShare*float64(files))/fronts)
 	served := make(chan error, 3)
 	var others []*grpc.Server
 	serve := func(name, addr string, server *grpc.Server) error {
@@ -256,7 +266,7 @@
 			return fmt.Errorf("%s: %w", name, err)
 		}
 		others = append(others, server)
-		go func() { served <- server.Serve(l) }()
+		go func() { served <- server.Serve(netutil.LimitListener(l, clients)) }()
 		log.Info("serving", "front", name, "listen", l.Addr().String())
 		return nil
 	}
@@ -278,7 +288,7 @@
 			return err
 		}
 	}
-	go func() { served <- front.Serve(listener, int(clientsShare*float64(files))) }()
+	go func() { served <- front.Serve(listener, clients) }()
 	log.Info("serving", "front", "http", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
 
 	select {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -908,7 +908,7 @@
 		return
 	}
 	t.entries[k] = t.order.PushFront(&prefix{k, tokens, now})
-	if t.order.Len() > prefixTable {
+	for t.order.Len() > prefixTable || now-t.order.Back().Value.(*prefix).at > prefixTTL {
 		t.drop()
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -963,3 +963,14 @@
 		}
 	}
 }
+
+// On a day on which all ids are new, a record must not keep what it takes for forgotten anyway.
+func TestRecordsHoldNoForgottenPrefixes(t *testing.T) {
+	p := newPrefixes()
+	for i := range uint64(1000) {
+		p.sent(&Request{Session: i + 1, Prompt: 100}, time.Duration(i)*time.Second)
+	}
+	if most := int(prefixTTL/time.Second) + 1; p.order.Len() > most || len(p.entries) != p.order.Len() {
+		t.Errorf("%d and %d entries kept, want %d at most", p.order.Len(), len(p.entries), most)
+	}
+}
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -29,6 +29,7 @@
 	"rowanyard/decide"
 	"rowanyard/internal/core"
 	"rowanyard/internal/describe"
+	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/httpfront"
 )
 
@@ -57,7 +58,7 @@
 
 // GRPC returns a gRPC server with the processor registered.
 func (s *Server) GRPC() *grpc.Server {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
+	g := grpc.NewServer(grpcfront.Bounds(maxMessage)...)
 	extprocv3.RegisterExternalProcessorServer(g, s)
 	return g
 }
--- a/internal/grpcfront/bridge_test.go
+++ b/internal/grpcfront/bridge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -90,3 +91,28 @@
 		t.Errorf("%v", st.Details())
 	}
 }
+
+// Servers come and go under new addresses all day: connections without a call must not stay for good, and
+// one that has a call must not be closed.
+func TestConnectionsToServersThatLeftAreClosed(t *testing.T) {
+	w := NewWorkers(time.Second, 15*time.Second)
+	defer w.Close()
+	_, busy, err := w.conn("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy()
+	for i := range 20 {
+		_, done, err := w.conn(fmt.Sprintf("127.0.0.2:%d", i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		done()
+		for _, s := range w.conns {
+			s.used = s.used.Add(-2 * connKept)
+		}
+	}
+	if len(w.conns) != 2 || w.conns["127.0.0.1:1"] == nil {
+		t.Errorf("%d connections kept: %v", len(w.conns), w.conns)
+	}
+}
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -16,6 +16,7 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -29,6 +30,9 @@
 	maxMessage = 256<<10 + 4<<10 // a body and what names it
 	maxTokens  = 1 << 30
 	maxWait    = 10 * time.Minute
+	firstWord  = 2 * time.Second // a connection is open for calls after this
+	idleTime   = time.Minute     // or without a call for so long is closed
+	maxStreams = 256             // calls on one connection
 )
 
 // Server serves gRPC clients.
@@ -51,9 +55,16 @@
 	return s
 }
 
+// Bounds are the limits of a server towards clients that say nothing, stand idle or send too much.
+func Bounds(message int) []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(message), grpc.MaxHeaderListSize(maxHeads),
+		grpc.ConnectionTimeout(firstWord), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTime})}
+}
+
 // GRPC returns a gRPC server with this front's service registered.
 func (s *Server) GRPC() *grpc.Server {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.StreamInterceptor(s.guard))
+	g := grpc.NewServer(append(Bounds(maxMessage), grpc.StreamInterceptor(s.guard))...)
 	pb.RegisterCompletionsServer(g, s)
 	return g
 }
