Failed attempts say how long their connection had been idle

Ruled out: our idle limit (60% of theirs) as too long. Conclusion: nothing to change, the line stays.

--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -148,8 +148,9 @@
 	w := x.Workers
 	body := &bodyReader{r: bytes.NewReader(text), allowed: a.Allowed}
 	var wrote, broke, reused, came atomic.Bool
+	var idle atomic.Int64
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) },
+		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused); idle.Store(int64(i.IdleTime)) },
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			wrote.Store(i.Err == nil)
 			broke.Store(i.Err != nil)
@@ -172,6 +173,9 @@
 		// Whether it may have run turns on the request's last byte. Where the transport has had it
 		// and told nothing of a failed write, it may have been on its way.
 		ran := wrote.Load() || body.drained.Load() && !broke.Load()
+		if reused.Load() {
+			err = fmt.Errorf("after %v idle: %w", time.Duration(idle.Load()).Round(time.Millisecond), err)
+		}
 		unsent = errors.Is(err, errUnsent) || reused.Load() && !body.touched.Load()
 		// What has begun to answer has fetched the state, whatever it went on with.
 		return core.Result{Status: failure(ctx, err, ran), NoState: !a.Read && ran && (came.Load() || errors.Is(err, errSpoilt)), Err: err}, unsent
