The processor refuses past its limit with Retry-After; bodies are read without a copy of their text

Seen: past ext_proc.max_open the call ended in RESOURCE_EXHAUSTED, which a proxy turns into a 500 without advice (extproc.go Process); each body's messages were copied once more when they were checked (front.go Parse), half of the garbage of a request; a probe's unreadable answer counted as no answer. Now: an immediate 503 with Retry-After; the list is only looked at; an unreadable load is not told.

--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -89,10 +89,11 @@
 		}
 	}()
 	defer s.open.Add(-1)
-	if s.open.Add(1) > s.MaxOpen { // guards the memory limit
-		return status.Error(codes.ResourceExhausted, "too many requests are open")
-	}
 	c := &call{Server: s, stream: stream, in: make(chan *extprocv3.ProcessingRequest), answers: make(chan core.Answer, 1)}
+	if s.open.Add(1) > s.MaxOpen { // guards the memory limit; the client is told when to come back
+		c.answer = core.Answer{Verdict: core.Refused, RetryAfter: s.Core.Busy()}
+		return c.turnBack()
+	}
 	ctx, stop := context.WithCancel(stream.Context())
 	defer stop()
 	go c.receive(ctx)
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -35,6 +35,8 @@
 	url   string
 }
 
+var maxOpen int64 = 100
+
 func start(t *testing.T, o standin.Options, routes *describe.Routes) *bed {
 	t.Helper()
 	must := func(err error) {
@@ -58,7 +60,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	server := (&extproc.Server{Core: c, Workers: hw, Classes: httpfront.ClassesOf(site.ClassNames), Settings: site.Settings,
-		Routes: routes, Destination: extproc.DestinationHeader, MaxOpen: 100, Log: log}).GRPC()
+		Routes: routes, Destination: extproc.DestinationHeader, MaxOpen: maxOpen, Log: log}).GRPC()
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
 	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -108,6 +110,16 @@
 	b.settled(t)
 }
 
+// Past the limit the client is told when to come back: an error on the stream would make the proxy answer 500.
+func TestTooManyOpenRequestsAreRefused(t *testing.T) {
+	defer func(n int64) { maxOpen = n }(maxOpen)
+	maxOpen = 0
+	b := start(t, standin.Options{}, nil)
+	if code, head, _, err := b.post("/v1/chat/completions", "send-message", "k", 1000); code != 503 || head.Get("Retry-After") != "0.250" {
+		t.Errorf("%d %v %v", code, head, err)
+	}
+}
+
 func TestRefusedFailedAndBad(t *testing.T) {
 	for _, c := range []struct {
 		stage, class string
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -267,15 +267,15 @@
 		return q, http.StatusBadRequest, err
 	}
 	var b struct {
-		Model    *string           `json:"model"`
-		Stream   *bool             `json:"stream"`
-		Max      *float64          `json:"max_tokens"`
-		Messages []json.RawMessage `json:"messages"`
+		Model    *string  `json:"model"`
+		Stream   *bool    `json:"stream"`
+		Max      *float64 `json:"max_tokens"`
+		Messages some     `json:"messages"`
 	}
 	if err := json.Unmarshal(body, &b); err != nil {
 		return q, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	}
-	if len(b.Messages) == 0 {
+	if !b.Messages {
 		return q, http.StatusBadRequest, errors.New("body: no messages")
 	}
 	if q.MaxOutput == 0 && b.Max != nil && *b.Max > 0 && *b.Max <= maxTokens {
@@ -284,6 +284,16 @@
 	return q, 0, nil
 }
 
+// some says that a list is there and holds something. Its text, most of a body, is not copied.
+type some bool
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *some) UnmarshalJSON(text []byte) error {
+	inside, ok := bytes.CutPrefix(text, []byte("["))
+	*s = some(ok && len(bytes.TrimLeft(inside, " \t\r\n")) > 1)
+	return nil
+}
+
 // parseHead reads the values that decisions rest on from a request's head.
 func (c Classes) parseHead(h http.Header) (decide.Request, error) {
 	var q decide.Request
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -231,6 +231,11 @@
 	if res, _, _ := post(t, front.URL, head(), bodyText[:50]); res.StatusCode != 400 {
 		t.Errorf("cut body: %d", res.StatusCode)
 	}
+	for _, none := range []string{`{"model":"chat"}`, `{"messages":[ ]}`, `{"messages":{"a":1}}`, `{"messages":null}`} {
+		if res, _, _ := post(t, front.URL, head(), none); res.StatusCode != 400 {
+			t.Errorf("%s: %d", none, res.StatusCode)
+		}
+	}
 	if res, _, _ := post(t, front.URL, head(), strings.Repeat(" ", maxBody+1)); res.StatusCode != 413 {
 		t.Errorf("large body: %d", res.StatusCode)
 	}
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -322,6 +323,16 @@
 	}
 }
 
+// A worker whose load report can't be read has answered all the same: its load counts as not told.
+func TestUnreadableLoadReportIsNotAFailure(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "queue=\x00,=") }))
+	defer s.Close()
+	w := NewWorkers(time.Second, 15*time.Second, 9, quiet)
+	if p, err := w.Probe(context.Background(), core.Worker{Addr: s.Listener.Addr().String()}); err != nil || p.Queue >= 0 || p.Tokens >= 0 {
+		t.Errorf("%+v %v", p, err)
+	}
+}
+
 // Past the limit of connections idle ones make room; where none is idle, the attempt was never made and
 // no worker is to blame.
 func TestNoRoomForAnotherConnection(t *testing.T) {
