Whoever is not at work makes room for a newcomer, not only who said nothing

A new line, 'full house', showed 1,251 connections turned away in one second with 345 open, though few requests were at work. Cause: clients.go admit shed silent connections only; those with half a head, a body that stopped, or an answer behind them kept their places for 2 to 2.6 s. Now: places go to newcomers in that order, the longest first; nobody at work is touched. Ruled out: the module (its refusals were 10 of 151), slow accepting.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -9,7 +9,9 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,31 +23,36 @@
 	firstBody  = 2600 * time.Millisecond // ... and its body after this, both from connecting
 	laterBody  = 2500 * time.Millisecond // a later request's body, from its head
 	idleTime   = 2500 * time.Millisecond // a connection between two requests may stand idle so long
-	silentMin  = 50 * time.Millisecond   // nobody is called silent sooner
+	silentMin  = 50 * time.Millisecond   // nobody is called silent or idle sooner
+	halfMin    = 300 * time.Millisecond  // and nobody is taken to have stopped in a body
 	turnedMost = 16                      // turned away at once, past them new connections wait
 	turnedTime = 200 * time.Millisecond  // to send what is not read before a reset eats the answer
 	headStep   = 2 << 10
 )
 
-// clients is a listener that holds at most so many connections. When they are all taken, the one that
-// has said nothing for the longest is closed for a newcomer; where every one is at work, the newcomer
-// is told to come back. Nobody is left without an answer.
+// clients is a listener that holds at most so many connections. When they are all taken, a newcomer gets the
+// place of one at which no request is at work: one that has not sent a whole head, else one that stands
+// idle, else one that stopped in a body, the longest first. Where every one is at work, the newcomer is told
+// to come back. Nobody is left without an answer.
 type clients struct {
 	net.Listener
 	most   int
 	again  string // the Retry-After line for who is turned away, may be empty
 	mu     sync.Mutex
-	open   int
-	silent []*clientConn // in order of their coming; some may have spoken or gone since
+	conns  map[*clientConn]bool
 	turned chan struct{} // bounds those that are being turned away
+	log    *slog.Logger
+	told   time.Time // the latest line about a full house, and since then:
+	away   int       // turned away
+	closed int       // closed for newcomers
 }
 
-func newClients(l net.Listener, most int, again time.Duration) *clients {
+func newClients(l net.Listener, most int, again time.Duration, log *slog.Logger) *clients {
 	line := ""
 	if again > 0 {
 		line = "Retry-After: " + seconds(again) + "\r\n"
 	}
-	return &clients{Listener: l, most: max(1, most), again: line, turned: make(chan struct{}, turnedMost)}
+	return &clients{Listener: l, most: max(1, most), again: line, conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log}
 }
 
 // Accept implements net.Listener.
@@ -58,6 +65,7 @@
 		if x := l.admit(c); x != nil {
 			return x, nil
 		}
+		l.full(&l.away)
 		l.turned <- struct{}{}
 		go func() {
 			defer func() { <-l.turned }()
@@ -69,46 +77,68 @@
 // admit takes a connection in, or returns nil where all that there may be are at work.
 func (l *clients) admit(c net.Conn) *clientConn {
 	for {
-		wait := time.Duration(0)
 		l.mu.Lock()
-		for l.open >= l.most && len(l.silent) > 0 && wait == 0 {
-			old := l.silent[0]
-			if old.said.Load() != saidNothing {
-				l.silent = l.silent[1:]
-			} else if wait = silentMin - time.Since(old.since); wait <= 0 {
-				wait, l.silent = 0, l.silent[1:]
-				if old.said.CompareAndSwap(saidNothing, shed) {
-					l.mu.Unlock()
-					old.Close()
-					l.mu.Lock()
-				}
-			}
-		}
-		if l.open < l.most {
+		if len(l.conns) < l.most {
 			x := &clientConn{Conn: c, from: l, since: time.Now()}
-			l.open++
-			if len(l.silent) >= 2*l.most { // those that have spoken are only dropped when room is short
-				kept := l.silent[:0]
-				for _, s := range l.silent {
-					if s.said.Load() == saidNothing {
-						kept = append(kept, s)
-					}
-				}
-				clear(l.silent[len(kept):])
-				l.silent = kept
-			}
-			l.silent = append(l.silent, x)
+			x.is(waiting)
+			l.conns[x] = true
 			l.mu.Unlock()
 			return x
 		}
+		old, wait := l.victim()
 		l.mu.Unlock()
-		if wait == 0 {
+		switch {
+		case old == nil && wait == 0:
 			return nil
+		case old == nil:
+			time.Sleep(wait)
+		case old.half.Load() || old.state.CompareAndSwap(waiting, shed) || old.state.CompareAndSwap(idle, shed):
+			old.Close()
+			l.full(&l.closed)
 		}
-		time.Sleep(wait)
 	}
 }
 
+// victim is the connection that goes first for a newcomer. Where those that could are too young yet, it
+// says how long until one is not. The caller holds the lock.
+func (l *clients) victim() (first *clientConn, wait time.Duration) {
+	best, age := len(shedAfter), time.Duration(0)
+	for c := range l.conns {
+		kind, since := int(c.state.Load()), time.Since(epoch)-time.Duration(c.at.Load())
+		if kind == atWork {
+			if !c.half.Load() {
+				continue
+			}
+			kind = halfBody
+		}
+		if kind >= len(shedAfter) {
+			continue
+		}
+		if left := shedAfter[kind] - since; left > 0 {
+			if kind != halfBody && (wait == 0 || left < wait) {
+				wait = left
+			}
+			continue
+		}
+		if kind < best || kind == best && since > age {
+			first, best, age = c, kind, since
+		}
+	}
+	return first, wait
+}
+
+// full counts what a full house led to, and says so once a second at most.
+func (l *clients) full(what *int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*what++
+	if time.Since(l.told) < time.Second {
+		return
+	}
+	l.log.Warn("full house", "open", len(l.conns), "turned_away", l.away, "closed", l.closed)
+	l.told, l.away, l.closed = time.Now(), 0, 0
+}
+
 // turnAway refuses whatever a connection brings: nothing of it has been read, let alone sent on.
 func turnAway(c net.Conn, again string) {
 	defer c.Close()
@@ -122,20 +152,29 @@
 	_, _ = io.CopyN(io.Discard, c, maxBody)
 }
 
-// What a connection has done so far.
+// What a connection does, in the order in which they make room.
 const (
-	saidNothing = iota
-	spoke
+	waiting  = iota // for its first whole head
+	idle            // between two requests
+	halfBody        // at work, but its body has not come
+	atWork
 	shed
-	closed
 )
 
+// shedAfter is how long it must have done so.
+var shedAfter = [...]time.Duration{waiting: silentMin, idle: silentMin, halfBody: halfMin}
+
+// epoch is what the times of connections count from.
+var epoch = time.Now()
+
 // clientConn is one client's connection.
 type clientConn struct {
 	net.Conn
 	from  *clients
 	since time.Time
-	said  atomic.Int32
+	state atomic.Int32
+	at    atomic.Int64 // when that began, from epoch
+	half  atomic.Bool  // the body at hand has not come
 	gone  atomic.Bool
 
 	// Owned by Read, which net/http calls one at a time.
@@ -161,12 +200,37 @@
 	return time.Now().Add(laterBody)
 }
 
+// is notes what the connection does from now on, unless it has been closed for a newcomer.
+func (c *clientConn) is(state int32) bool {
+	c.at.Store(int64(time.Since(epoch)))
+	for {
+		now := c.state.Load()
+		if now == shed {
+			return false
+		}
+		if c.state.CompareAndSwap(now, state) {
+			return true
+		}
+	}
+}
+
+// connState is told by net/http what it does with a connection.
+func connState(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*clientConn); ok {
+		switch state {
+		case http.StateIdle:
+			c.is(idle)
+		case http.StateActive:
+			c.is(atWork)
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	if c.gone.CompareAndSwap(false, true) {
-		c.said.CompareAndSwap(saidNothing, closed)
 		c.from.mu.Lock()
-		c.from.open--
+		delete(c.from.conns, c)
 		c.from.mu.Unlock()
 	}
 	return c.Conn.Close()
@@ -199,24 +263,28 @@
 			c.ready = len(c.buf)
 			continue
 		case c.plain:
-			return c.read(p)
+			return c.Conn.Read(p)
 		case len(c.buf) > 0 && c.body > 0:
 			c.ready = int(min(c.body, int64(len(c.buf))))
-			c.body -= int64(c.ready)
+			c.took(c.ready)
 			continue
 		case c.body > 0:
-			n, err := c.read(p[:min(int64(len(p)), c.body)])
-			c.body -= int64(n)
+			n, err := c.Conn.Read(p[:min(int64(len(p)), c.body)])
+			c.took(n)
 			return n, err
 		}
 		if end := headEnd(c.buf); end > 0 {
 			f, ok := requestFraming(c.buf[:end])
 			c.heads.Add(1)
+			if !c.is(atWork) {
+				return 0, net.ErrClosed
+			}
 			if !ok {
 				c.buf, c.ready, c.plain = []byte(unreadable), len(unreadable), true
 				continue
 			}
 			c.ready, c.body, c.plain = end, f.length, f.chunked
+			c.half.Store(c.body > 0)
 			continue
 		}
 		if len(c.buf) > maxHead { // net/http answers it with 431
@@ -226,7 +294,7 @@
 		if cap(c.buf)-len(c.buf) < headStep/2 {
 			c.buf = append(make([]byte, 0, 2*len(c.buf)+headStep), c.buf...)
 		}
-		n, err := c.read(c.buf[len(c.buf):cap(c.buf)])
+		n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
 		c.buf = c.buf[:len(c.buf)+n]
 		if err != nil {
 			return 0, err
@@ -234,12 +302,11 @@
 	}
 }
 
-func (c *clientConn) read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.said.Load() != spoke && !c.said.CompareAndSwap(saidNothing, spoke) {
-		return 0, net.ErrClosed
+// took counts what has come of the body.
+func (c *clientConn) took(n int) {
+	if c.body -= int64(n); c.body == 0 {
+		c.half.Store(false)
 	}
-	return n, err
 }
 
 // headEnd is the length of the head at the start of text with the empty line that ends it, 0 where it
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -100,14 +100,14 @@
 		handler = pages(f)
 	}
 	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: firstWord, IdleTimeout: idleTime,
-		MaxHeaderBytes: maxHead, ErrorLog: quiet, ConnContext: withConn}
+		MaxHeaderBytes: maxHead, ErrorLog: quiet, ConnContext: withConn, ConnState: connState}
 	return f
 }
 
 // Serve serves clients on l, at most maxConns at once, until Shutdown.
 func (f *Front) Serve(l net.Listener, maxConns int) error {
 	f.ready.Store(true)
-	err := f.server.Serve(newClients(l, maxConns, f.core.Busy()))
+	err := f.server.Serve(newClients(l, maxConns, f.core.Busy(), f.log))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -138,8 +138,13 @@
 	w, _ := rawWorker(t, func(int) string { at <- struct{}{}; <-go1; return "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" })
 	f, _ := before(t, w)
 	addr := listening(t, f, 2)
-	for range 6 {
+	for range 6 { // none of these has asked for anything yet, or any more
 		dial(t, addr, "")
+		dial(t, addr, "POST /v1")
+	}
+	kept := dial(t, addr, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	if res, err := http.ReadResponse(bufio.NewReader(kept), nil); err != nil || res.Close {
+		t.Fatal(res, err)
 	}
 	ask := func(text string) int {
 		res, err := http.ReadResponse(bufio.NewReader(dial(t, addr, text)), nil)
