Streams that still run are handed over before the kill of a planned restart

Cause: main.go drained for 15.2 s, but the kill comes 3.5 to 3.7 s after SIGTERM; it cut the streams at a moment when the other router was draining too, so their clients found nobody for the rest. Ruled out: an earlier exit (restarts come at fixed times), requests lost in the drain (none in the log).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -60,9 +60,10 @@
 	defaultFiles = 1024
 	openKB       = 512 // of the memory limit for each call that may be open, where the operator sets none
 	mostOpen     = 256
-	endMargin    = 500 * time.Millisecond // the program has ended so long before it would be killed
-	killMargin   = 700 * time.Millisecond // the kill comes no sooner than the longest deadline and this
-	leastEnd     = 3 * time.Second
+	endMargin    = 500 * time.Millisecond  // the program has ended so long before it would be killed
+	killMargin   = 700 * time.Millisecond  // the kill comes no sooner than the longest deadline and this
+	leastEnd     = 3 * time.Second         // a longer deadline counts as this for the kill
+	handMargin   = 1300 * time.Millisecond // so long before the kill streams are handed over
 )
 
 // operator is the file that ROWANYARD_OPERATOR names.
@@ -247,6 +248,9 @@
 		return err
 	}
 	front := httpfront.New(c, workers, site.ClassNames, describe.Handler, log)
+	if site.Resume {
+		front.HandOver = leastEnd + killMargin - handMargin
+	}
 	front.Bodies = int64(bodiesShare * memory)
 	if len(op.GRPC.WorkerHosts) > 0 {
 		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -64,6 +64,9 @@
 	Bridges map[string]Bridge
 	// Bodies is how many bytes of bodies are held at once; past it new requests are refused.
 	Bodies int64
+	// HandOver is how long after the beginning of Shutdown the streams that still run are cut, so that their
+	// clients ask another router for the rest while there is one; 0 where clients don't.
+	HandOver time.Duration
 
 	core    *core.Core
 	workers *Workers
@@ -74,13 +77,15 @@
 	writes  time.Duration // writeLimit
 	bodies  atomic.Int64
 	ready   atomic.Bool
-	active  sync.WaitGroup
+	over    context.Context // ends when streams are handed over
+	cut     context.CancelFunc
 }
 
 // New returns a Front that serves the classes with the given names, in the order of their numbers.
 // pages serves what else stands on its port; nil: nothing.
 func New(c *core.Core, w *Workers, classNames []string, pages func(http.Handler) http.Handler, logger *slog.Logger) *Front {
-	f := &Front{core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit, Bodies: maxBodies}
+	over, cut := context.WithCancel(context.Background())
+	f := &Front{over: over, cut: cut, core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit, Bodies: maxBodies}
 	quiet := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
@@ -120,6 +125,12 @@
 	f.ready.Store(false)
 	// Connections between two requests are ended now; the others are when their answer is out.
 	f.server.SetKeepAlivesEnabled(false)
+	if f.HandOver > 0 {
+		defer time.AfterFunc(f.HandOver, func() {
+			f.log.Info("handing streams over")
+			f.cut()
+		}).Stop()
+	}
 	select {
 	case <-time.After(closeAfter):
 	case <-ctx.Done():
@@ -429,7 +440,7 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{s, a.Ended, got.client, t.f.writes}
+		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
 		refuse(res.Header, a.RetryAfter)
@@ -448,15 +459,23 @@
 	ended  func(decide.Status)
 	client *http.ResponseController
 	writes time.Duration
+	over   context.Context // when it ends the stream is cut, but not before something of it has passed
+	keep   func() bool
+	moved  atomic.Bool
 }
 
 func (r *relay) Read(p []byte) (int, error) {
 	n, err := r.Stream.Read(p)
+	if r.keep == nil && n > 0 {
+		r.keep = context.AfterFunc(r.over, func() { r.moved.Store(true); r.Stream.Close() })
+	}
 	// Guards against a client that stops reading and would hold its stream, and a writer's slot, for good.
 	_ = r.client.SetWriteDeadline(time.Now().Add(r.writes))
 	switch {
 	case err == io.EOF:
 		r.ended(decide.Served)
+	case err != nil && r.moved.Load():
+		r.ended(decide.Cancelled)
 	case err != nil:
 		r.ended(decide.Reset)
 	}
@@ -464,6 +483,9 @@
 }
 
 func (r *relay) Close() error {
+	if r.keep != nil {
+		r.keep()
+	}
 	_ = r.client.SetWriteDeadline(time.Time{}) // the connection may be used again
 	r.ended(decide.Cancelled)                  // the client has gone, if the stream has not ended before
 	return r.Stream.Close()
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -418,3 +418,40 @@
 		}
 	})
 }
+
+// A stream that would run into the kill after a SIGTERM is handed over while another router can take it: its
+// client's connection ends without the last chunk, after something of it has passed. Where clients don't ask
+// for the rest it goes on to its end.
+func TestStreamsAreHandedOver(t *testing.T) {
+	for _, after := range []time.Duration{time.Millisecond, 0} {
+		more := make(chan struct{})
+		front, c := bed(t, twoStages(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "data: {}\n\n")
+			http.NewResponseController(w).Flush()
+			select {
+			case <-more:
+			case <-r.Context().Done():
+			}
+		}))
+		f := front.Config.Handler.(*Front)
+		f.HandOver = after
+		req, _ := http.NewRequest(http.MethodPost, front.URL+PathChat, strings.NewReader(bodyText))
+		req.Header = head()
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		f.Shutdown(ctx)
+		if after == 0 {
+			close(more)
+		}
+		text, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if string(text) != "data: {}\n\n" || (err != nil) != (after > 0) {
+			t.Errorf("handed over after %v: %q %v", after, text, err)
+		}
+		c.Wait(ctx)
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -48,6 +48,7 @@
 	KindRole    []string  `json:"kind_role"`
 	KVTokens    []float64 `json:"kv_tokens"`
 	PinLimit    float64   `json:"pin_limit"`
+	Resume      bool      `json:"resume"`
 	TokenAim    []float64 `json:"token_aim"`
 	WritersRead bool      `json:"writers_read"`
 }
@@ -87,6 +88,7 @@
 	decide.Settings
 	ClassNames, KindNames, ZoneNames []string
 	ConnIdle, ConnectTimeout         time.Duration
+	Resume                           bool // clients ask for the rest of a stream that broke
 }
 
 // ParseSite reads the settings for a real router.
@@ -97,7 +99,7 @@
 	}
 	set, err := settings(c)
 	s := Site{Settings: set, KindNames: c.HostTypes, ZoneNames: c.Zones,
-		ConnIdle: micros(c.Limits.ConnIdle), ConnectTimeout: micros(c.Limits.ConnectTimeout)}
+		ConnIdle: micros(c.Limits.ConnIdle), ConnectTimeout: micros(c.Limits.ConnectTimeout), Resume: c.Domain.Resume}
 	for _, k := range c.Classes {
 		s.ClassNames = append(s.ClassNames, k.Name)
 	}
