Streams are handed over one by one, so that their prompts do not come back in a burst

Seen: with all streams cut in one moment the router that had just started refused 7 to 20% of the next five seconds: every prompt came to be read anew at once. Now: each is cut at a random moment within 0.6 s (front.go relay.Read).

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -16,6 +16,7 @@
 	"log"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -44,6 +45,7 @@
 	headTxn    = "X-Txn"
 	headLeft   = "X-Remaining-Ms"
 	statusFail = http.StatusBadGateway
+	handSpread = 600 * time.Millisecond // streams are handed over one by one within this
 	closeAfter = 600 * time.Millisecond // after SIGTERM connections still arrive for so long
 	writeLimit = 30 * time.Second       // a client that takes nothing for so long is let go
 )
@@ -467,7 +469,12 @@
 func (r *relay) Read(p []byte) (int, error) {
 	n, err := r.Stream.Read(p)
 	if r.keep == nil && n > 0 {
-		r.keep = context.AfterFunc(r.over, func() { r.moved.Store(true); r.Stream.Close() })
+		r.keep = context.AfterFunc(r.over, func() {
+			// Guards the other routers: all at once would be a burst of prompts to read.
+			time.Sleep(rand.N(handSpread))
+			r.moved.Store(true)
+			r.Stream.Close()
+		})
 	}
 	// Guards against a client that stops reading and would hold its stream, and a writer's slot, for good.
 	_ = r.client.SetWriteDeadline(time.Now().Add(r.writes))
