gRPC streams are handed over before the kill of a planned restart too

Now: they end with DATA_LOSS after something has passed, where the settings say that clients ask for the rest.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -274,8 +274,11 @@
 		log.Info("serving", "front", name, "listen", l.Addr().String())
 		return nil
 	}
+	over, handOver := context.WithCancel(context.Background())
+	defer handOver()
 	if addr := op.GRPC.Listen; addr != "" {
 		front := grpcfront.NewServer(c, grpcWorkers, workers, site.ClassNames, op.GRPC.MaxOpen, log)
+		front.Over = over
 		if err := serve("grpc", addr, front.GRPC()); err != nil {
 			return err
 		}
@@ -307,6 +310,9 @@
 	log.Info("draining", "for_at_most", longest.String())
 	end, cancel := context.WithTimeout(context.Background(), longest+killMargin-endMargin)
 	defer cancel()
+	if front.HandOver > 0 {
+		defer time.AfterFunc(front.HandOver, handOver).Stop()
+	}
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -38,6 +38,9 @@
 // Server serves gRPC clients.
 type Server struct {
 	pb.UnimplementedCompletionsServer
+	// Over ends when streams that still run are handed over: they break, and their clients ask another router
+	// for the rest. nil: never. Set before serving.
+	Over    context.Context
 	core    *core.Core
 	workers *Workers
 	http    *httpfront.Workers
@@ -101,7 +104,7 @@
 	a := s.core.Serve(out.Context(), q, s.exchange(req))
 	switch a.Verdict {
 	case core.Streaming:
-		return relay(a, out)
+		return relay(a, out, s.Over)
 	case core.Refused:
 		return refusal(codes.Unavailable, "refused, nothing has run", a.RetryAfter)
 	case core.Gone:
@@ -122,10 +125,14 @@
 }
 
 // relay passes a worker's stream on, chunk by chunk.
-func relay(a core.Answer, out grpc.ServerStreamingServer[pb.Chunk]) error {
+func relay(a core.Answer, out grpc.ServerStreamingServer[pb.Chunk], over context.Context) error {
 	from := a.Stream.(chunks)
 	defer from.Close()
-	for {
+	for first := true; ; first = false {
+		if !first && over != nil && over.Err() != nil {
+			a.Ended(decide.Cancelled)
+			return status.Error(codes.DataLoss, "the router ends, ask for the rest")
+		}
 		c, err := from.Recv()
 		switch {
 		case err == io.EOF:
--- a/internal/grpcfront/front_test.go
+++ b/internal/grpcfront/front_test.go
@@ -40,6 +40,7 @@
 	grpc  pb.CompletionsClient
 	http  string
 	ids   atomic.Int64
+	over  context.CancelFunc // hands the streams over
 }
 
 func start(t testing.TB, o standin.Options) *router {
@@ -73,7 +74,11 @@
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	server := grpcfront.NewServer(c, gw, hw, site.ClassNames, 200, log).GRPC()
+	grpcFront := grpcfront.NewServer(c, gw, hw, site.ClassNames, 200, log)
+	over, handOver := context.WithCancel(context.Background())
+	t.Cleanup(handOver)
+	grpcFront.Over = over
+	server := grpcFront.GRPC()
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
 	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
@@ -84,7 +89,7 @@
 	front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: gw.Bridge}
 	plain := httptest.NewServer(front)
 	t.Cleanup(plain.Close)
-	return &router{fleet: fleet, core: c, grpc: pb.NewCompletionsClient(conn), http: plain.URL}
+	return &router{fleet: fleet, core: c, grpc: pb.NewCompletionsClient(conn), http: plain.URL, over: handOver}
 }
 
 func (r *router) request(class, key string, within time.Duration) *pb.CompleteRequest {
@@ -339,3 +344,26 @@
 		t.Errorf("the writer was called %d times: %v", calls.Load(), err)
 	}
 }
+
+// A stream that would run into the kill after a SIGTERM breaks in a way that lets its client ask for the rest,
+// after something of it has passed.
+func TestStreamsAreHandedOver(t *testing.T) {
+	r := start(t, standin.Options{GRPC: true, Tokens: 1000, TokenTime: 20 * time.Millisecond})
+	ctx, stop := context.WithTimeout(context.Background(), 15*time.Second)
+	defer stop()
+	s, err := r.grpc.Complete(ctx, r.request("draft-reply", "k", 4*time.Second))
+	if err == nil {
+		_, err = s.Recv()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.over()
+	for err == nil {
+		_, err = s.Recv()
+	}
+	if status.Code(err) != codes.DataLoss {
+		t.Error(err)
+	}
+	r.core.Wait(ctx)
+}
