An empty comment in a stream no longer ends it

Seen: fuzzing FuzzStream for 15 s found that a line of ':' alone, a usual sign of life, panicked in answers.go eventScan.feed (its first byte was looked for where only names are kept); the attempt or the client's stream would have ended with it. Checked: 25 s of FuzzStream and 20 s of FuzzRequestFraming (against net/http) find nothing more.

--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -375,7 +375,7 @@
 			if name := bytes.TrimSuffix(s.line, []byte("\r")); !s.fine && len(name) > 0 && !isField(name) {
 				return i, blank, spoilt("a line %.20q", s.line)
 			}
-			if s.count == 0 || s.count == 1 && s.line[0] == '\r' {
+			if s.count == 0 || s.count == 1 && string(s.line) == "\r" {
 				blank = i + 1
 			}
 			*s = eventScan{line: s.line[:0]}
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -242,6 +242,7 @@
 	for name, c := range map[string]struct{ text, want string }{
 		"good":            {chunkedHead + good, one + ": X-Pressure: \x00\xff\n\n" + end},
 		"byte by byte":    {chunkedHead + chunk(one[:3]) + chunk(one[3:]) + "0\r\n\r\n", one},
+		"empty comment":   {chunkedHead + chunk(":\n\n"+one) + "0\r\n\r\n", ":\n\n" + one}, // a usual sign of life
 		"comment first":   {chunkedHead + chunk(": hello\n\n") + chunk(one) + "0\r\n\r\n", ": hello\n\n" + one},
 		"1xx ahead":       {strings.Repeat("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", 9) + chunkedHead + good, one + ": X-Pressure: \x00\xff\n\n" + end},
 		"load report":     {strings.Replace(chunkedHead, "\r\n\r\n", "\r\nx-pressure: \x00\x01\r\n\r\n", 1) + good, one + ": X-Pressure: \x00\xff\n\n" + end},
