Nothing behind a head that can't be trusted is handed over; both connections are fuzzed

Seen: FuzzConnections, new, showed that what came after a refused head in a later read still went to net/http (clients.go Read, plain), while what came in the same read did not. net/http closes by then, so no request could get through; now the connection is at its end for it either way.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -178,11 +178,12 @@
 	gone  atomic.Bool
 
 	// Owned by Read, which net/http calls one at a time.
-	buf   []byte       // read and not handed over
-	ready int          // so much of it may be
-	body  int64        // of the request's body still to come
-	plain bool         // all that comes is handed over: the connection ends with this request
-	heads atomic.Int32 // that were whole
+	buf     []byte       // read and not handed over
+	ready   int          // so much of it may be
+	body    int64        // of the request's body still to come
+	plain   bool         // all that comes is handed over: the connection ends with this request
+	refused bool         // nothing more is: a head could not be trusted
+	heads   atomic.Int32 // that were whole
 }
 
 type connKey struct{}
@@ -259,6 +260,8 @@
 				c.buf = nil
 			}
 			return n, nil
+		case c.refused:
+			return 0, io.EOF
 		case len(c.buf) > 0 && c.plain:
 			c.ready = len(c.buf)
 			continue
@@ -280,7 +283,7 @@
 				return 0, net.ErrClosed
 			}
 			if !ok {
-				c.buf, c.ready, c.plain = []byte(unreadable), len(unreadable), true
+				c.buf, c.ready, c.refused = []byte(unreadable), len(unreadable), true
 				continue
 			}
 			c.ready, c.body, c.plain = end, f.length, f.chunked
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -456,3 +456,36 @@
 		c.Wait(ctx)
 	}
 }
+
+// bytesConn is a connection that brings the given bytes, in pieces of at most so many, and then ends.
+type bytesConn struct {
+	net.Conn
+	in    *strings.Reader
+	piece int
+}
+
+func (c bytesConn) Read(p []byte) (int, error)      { return c.in.Read(p[:min(len(p), c.piece)]) }
+func (c bytesConn) SetReadDeadline(time.Time) error { return nil }
+
+// Whatever a peer sends, and in whatever pieces, neither side's connection may panic or run on for ever, and
+// what is handed over does not depend on the pieces.
+func FuzzConnections(f *testing.F) {
+	cuts(f, "HTTP/1.1 103 E\r\n\r\n"+chunkedHead+chunk("data: {}\n\n")+"0\r\n\r\nHTTP/1.1 500 X\r\n")
+	cuts(f, message("a", length("{}"), "{}")+message("b", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"))
+	f.Add("HTTP/1.1 204 X\r\n\r\n")
+	f.Add("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\nbeyond")
+	f.Fuzz(func(t *testing.T, text string) {
+		var seen [2]string
+		for i, piece := range []int{1, 1 << 20} {
+			w := &workerConn{Conn: bytesConn{in: strings.NewReader(text), piece: piece}, open: new(atomic.Int64)}
+			w.asked.Store(true)
+			io.Copy(io.Discard, w)
+			c := &clientConn{Conn: bytesConn{in: strings.NewReader(text), piece: piece}, from: newClients(nil, 1, 0, quiet)}
+			got, _ := io.ReadAll(c)
+			seen[i] = string(got)
+		}
+		if seen[0] != seen[1] && len(text) < maxHead {
+			t.Errorf("%q: %q in single bytes, %q at once", text, seen[0], seen[1])
+		}
+	})
+}
