The operators' address: status, maintenance, standby; two processes share a router

Design. internal/operator has the calls (operator.go) and what two processes of one router share (share.go): a file in TMPDIR with the bans, the standby and the number of the process that serves, and a lock that goes with its process. A ban is an overlay on the list in internal/core: a worker that is out counts as draining, and what follows from that stays the module's. Standby turns readiness off and keep-alives with it, and after 1.5 s closes every connection at which no request is at work. All fronts listen with SO_REUSEPORT. On SIGTERM a process that has a successor takes what waits in its socket's queue one by one and closes the socket with nothing in between; it goes on saying that it is ready. Each of two processes keeps to half of the limits.

On SIGTERM open requests now get their last answer 0.7 s before the kill (decide: End, core: End).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -21,10 +21,12 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
 	"rowanyard/internal/core"
@@ -32,6 +34,7 @@
 	"rowanyard/internal/extproc"
 	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/operator"
 	"rowanyard/internal/wire"
 )
 
@@ -40,6 +43,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"` // the operators' own address, "" = none
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -60,14 +64,20 @@
 	defaultFiles = 1024
 	openKB       = 512 // of the memory limit for each call that may be open, where the operator sets none
 	mostOpen     = 256
+	twoShare     = 0.5                     // of the limits for each of two processes of the router
+	shareLook    = 100 * time.Millisecond  // how often the other process is looked for
+	firstList    = 1500 * time.Millisecond // a process that takes over waits so long for discovery's first word
+	leastCallers = 4                       // operators that are listened to at once, or
+	callersPart  = 32                      // one for so many sockets
 	endMargin    = 500 * time.Millisecond  // the program has ended so long before it would be killed
 	killMargin   = 700 * time.Millisecond  // the kill comes no sooner than the longest deadline and this
 	leastEnd     = 3 * time.Second         // a longer deadline counts as this for the kill
+	giveUpTime   = 700 * time.Millisecond  // so long before the kill what has no answer gets its last one
 	handMargin   = 1300 * time.Millisecond // so long before the kill streams are handed over
 )
 
-// operator is the file that ROWANYARD_OPERATOR names.
-type operator struct {
+// operators is the file that ROWANYARD_OPERATOR names.
+type operators struct {
 	GRPC struct {
 		Listen      string   `json:"listen"`
 		WorkerHosts []string `json:"worker_hosts"` // workers that speak gRPC, "*" = all of them
@@ -83,7 +93,7 @@
 }
 
 // wire says how a worker is spoken to.
-func (o operator) wire(e httpfront.Entry) string {
+func (o operators) wire(e httpfront.Entry) string {
 	for _, h := range o.GRPC.WorkerHosts {
 		if h == "*" || h == e.Host {
 			return grpcfront.Wire
@@ -92,8 +102,8 @@
 	return ""
 }
 
-func loadOperator(memory float64) (operator, error) {
-	o := operator{}
+func loadOperators(memory float64) (operators, error) {
+	o := operators{}
 	o.ExtProc.DestinationHeader = extproc.DestinationHeader
 	path := os.Getenv("ROWANYARD_OPERATOR")
 	if path == "" {
@@ -163,13 +173,13 @@
 		return fail(err)
 	}
 	path := os.Getenv("ROUTER_CONFIG")
-	for name, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery} {
+	for name, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.Operator} {
 		if v := os.Getenv(name); v != "" {
 			*to = v
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "operator": c.Operator} {
+		if _, _, err := net.SplitHostPort(addr); err != nil && (addr != "" || name != "operator") {
 			return fail(fmt.Errorf("%s: %s: %w", path, name, err))
 		}
 	}
@@ -200,6 +210,60 @@
 	d.Follow(c.Discovery, 0)
 }
 
+// listen listens at addr, where another process of this router may listen too: the one that takes over.
+func listen(addr string) (net.Listener, error) {
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
+			return e
+		}
+		return err
+	}}
+	return shared.Listen(context.Background(), "tcp", addr)
+}
+
+// budget is what the process may take of the router's limits: a part of it while two processes run.
+type budget struct {
+	memory, files float64
+	fronts        int
+	front         *httpfront.Front
+	workers       *httpfront.Workers
+}
+
+func (b budget) clients(part float64) int {
+	return max(1, int(clientsShare*part*b.files)/b.fronts)
+}
+
+// take holds the process to a part of the limits from now on.
+func (b budget) take(part float64) {
+	debug.SetMemoryLimit(int64(memoryShare * part * b.memory))
+	b.workers.Limit(int(workersShare * part * b.files))
+	b.front.Limit(b.clients(part))
+	b.front.Bodies.Store(int64(bodiesShare * part * b.memory))
+}
+
+// share holds the process to its part while another one of the router runs beside it, older or newer.
+func (b budget) share(ctx context.Context, desk *operator.Desk, log *slog.Logger) {
+	part := 1.0
+	for t := time.NewTicker(shareLook); ; {
+		now := 1.0
+		if !desk.Share.Alone() || desk.Succeeded() {
+			now = twoShare
+		}
+		if now != part {
+			log.Info("another process of this router", "runs", now < 1, "part_of_limits", now)
+			part = now
+			b.take(part)
+		}
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
 func run(log *slog.Logger) error {
 	// Guards against SIGHUP ending the program; one that comes while another is handled is kept.
 	reload := make(chan os.Signal, 1)
@@ -209,7 +273,7 @@
 		return err
 	}
 	memory := cmp.Or(max(cfg.Limits.MemoryMB, 0), defaultMB) * (1 << 20)
-	op, err := loadOperator(memory)
+	op, err := loadOperators(memory)
 	if err != nil {
 		return err
 	}
@@ -217,7 +281,6 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
-	debug.SetMemoryLimit(int64(memoryShare * memory))
 	files := cfg.Limits.Sockets
 	if files <= 0 {
 		files = defaultFiles
@@ -234,7 +297,7 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	discovery := &httpfront.Discovery{Names: names, Core: c, Log: log, Line: int(lineShare * memory)}
+	discovery := httpfront.NewDiscovery(names, c, int(lineShare*memory), log)
 	defer discovery.Close()
 	discovery.Follow(cfg.Discovery, cfg.Known.Seq)
 	go func() {
@@ -243,29 +306,59 @@
 		}
 	}()
 
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return err
-	}
 	front := httpfront.New(c, workers, site.ClassNames, describe.Handler, log)
 	if site.Resume {
 		front.HandOver = leastEnd + killMargin - handMargin
 	}
-	front.Bodies = int64(bodiesShare * memory)
 	if len(op.GRPC.WorkerHosts) > 0 {
 		front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: grpcWorkers.Bridge}
 	}
-	fronts := 1
+	limits := budget{memory: memory, files: float64(files), fronts: 1, front: front, workers: workers}
 	for _, addr := range []string{op.GRPC.Listen, op.ExtProc.Listen} {
 		if addr != "" {
-			fronts++
+			limits.fronts++
 		}
 	}
-	clients := max(1, int(clientsShare*float64(files))/fronts)
+	limits.take(1)
+	shared, err := operator.Open(os.Getenv("TMPDIR"), cfg.Name)
+	if err != nil {
+		log.Error("nothing is shared with another process of this router", "err", err)
+	}
+	var serving atomic.Bool
+	desk := &operator.Desk{Share: shared, Router: c, Standby: front.Standby, Serving: serving.Load, Log: log}
+	desk.Begin()
+	go desk.Watch(ctx)
+	go limits.share(ctx, desk, log)
+	if cfg.Operator != "" {
+		l, err := net.Listen("tcp", cfg.Operator)
+		if err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		defer l.Close()
+		go func() {
+			if err := desk.Serve(l, max(leastCallers, files/callersPart)); err != nil {
+				log.Error("the operators' address is closed", "err", err)
+			}
+		}()
+		log.Info("serving", "front", "operator", "listen", l.Addr().String())
+	}
+	if !shared.Alone() { // there is time: the other one serves
+		log.Info("taking over")
+		select {
+		case <-discovery.Told():
+		case <-time.After(firstList):
+		case <-ctx.Done():
+		}
+	}
+	listener, err := listen(cfg.Listen)
+	if err != nil {
+		return err
+	}
+	clients := limits.clients(1)
 	served := make(chan error, 3)
 	var others []*grpc.Server
 	serve := func(name, addr string, server *grpc.Server) error {
-		l, err := net.Listen("tcp", addr)
+		l, err := listen(addr)
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
@@ -296,6 +389,8 @@
 		}
 	}
 	go func() { served <- front.Serve(listener, clients) }()
+	serving.Store(true)
+	desk.Serves()
 	log.Info("serving", "front", "http", "listen", listener.Addr().String(), "workers", len(cfg.Known.Hosts))
 
 	select {
@@ -303,11 +398,14 @@
 		return err
 	case <-ctx.Done():
 	}
-	longest := leastEnd
+	longest, kill := leastEnd, time.Duration(0)
 	for _, k := range site.Classes {
 		longest = max(longest, k.Deadline)
+		kill = max(kill, min(leastEnd, k.Deadline)+killMargin)
 	}
-	log.Info("draining", "for_at_most", longest.String())
+	defer time.AfterFunc(kill-giveUpTime, c.End).Stop()
+	heir := desk.Succeeded()
+	log.Info("draining", "for_at_most", longest.String(), "handed_on", heir)
 	end, cancel := context.WithTimeout(context.Background(), longest+killMargin-endMargin)
 	defer cancel()
 	if front.HandOver > 0 {
@@ -325,7 +423,7 @@
 		}
 		all.Wait()
 	}()
-	front.Shutdown(end)
+	front.Shutdown(end, heir)
 	<-drained
 	c.Wait(end)
 	log.Info("ended")
--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -51,10 +51,11 @@
 
 // program is a running router.
 type program struct {
-	cmd   *exec.Cmd
-	file  string // its configuration
-	lines chan string
-	http  string
+	cmd       *exec.Cmd
+	file      string // its configuration
+	lines     chan string
+	http      string
+	operators string
 }
 
 func begin(t *testing.T, config []byte, operator string) *program {
@@ -105,6 +106,18 @@
 	}
 }
 
+// call makes one of the operators' calls.
+func (p *program) call(t *testing.T, method, path string) int {
+	t.Helper()
+	req, _ := http.NewRequest(method, p.operators+path, nil)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
 func up(t *testing.T, o standin.Options, operator string) (*standin.Fleet, *program) {
 	t.Helper()
 	fleet, err := standin.Start(o)
@@ -212,6 +225,133 @@
 	}
 }
 
+// A router in standby must be left by all its clients and come back when it is called back.
+func TestStandbyEmptiesTheRouterAndActiveBringsItBack(t *testing.T) {
+	t.Setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(standin.Options{Tokens: 40, TokenTime: 10 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	p := begin(t, fleet.Config("127.0.0.1:0"), "")
+	p.operators = "http://" + p.line(t, `msg=serving .*front=operator listen=(\S+)`)
+	p.http = "http://" + p.line(t, `msg=serving .*front=http listen=(\S+)`)
+	silent, err := net.Dial("tcp", strings.TrimPrefix(p.operators, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	kept, err := net.Dial("tcp", strings.TrimPrefix(p.http, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	fmt.Fprint(kept, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	answers := bufio.NewReader(kept)
+	if res, err := http.ReadResponse(answers, nil); err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	res, err := http.DefaultClient.Do(request(p, "s1", "send-message"))
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	if code := p.call(t, "GET", "/status"); code != 200 {
+		t.Errorf("status %d", code)
+	}
+	if code := p.call(t, "POST", "/standby"); code != 200 {
+		t.Fatalf("standby: %d", code)
+	}
+	if _, err := answers.ReadByte(); err != io.EOF {
+		t.Errorf("a kept connection in standby: %v", err)
+	}
+	if text, err := io.ReadAll(res.Body); err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		t.Errorf("a stream that runs on in standby: %v %q", err, text)
+	}
+	ready := func() int {
+		res, err := http.Get(p.http + "/health/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	if code := ready(); code == 200 {
+		t.Error("ready in standby")
+	}
+	if p.call(t, "POST", "/active") != 200 || ready() != 200 || p.call(t, "GET", "/active") != 405 || p.call(t, "POST", "/status") != 405 {
+		t.Error("not back at work, or a call by another method was taken")
+	}
+	silent.SetReadDeadline(time.Now().Add(30 * time.Second))
+	if _, err := silent.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Errorf("a caller that says nothing: %v", err)
+	}
+}
+
+// A newer process takes over at the same address: nothing that comes meanwhile may be lost, and what the
+// older one was told to keep out stays out.
+func TestAnUpgradeLosesNothingAndKeepsTheBan(t *testing.T) {
+	t.Setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(standin.Options{Writers: 2, Tokens: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	old := begin(t, fleet.Config("127.0.0.1:0"), "")
+	old.operators = "http://" + old.line(t, `msg=serving .*front=operator listen=(\S+)`)
+	addr := old.line(t, `msg=serving .*front=http listen=(\S+)`)
+	old.http = "http://" + addr
+	for path, want := range map[string]int{"enter?who=writer-1": 200, "enter?who=nobody": 404, "exit?who=nobody": 404, "enter": 400, "enter?who=": 400} {
+		if code := old.call(t, "POST", "/maintenance/"+path); code != want {
+			t.Errorf("%s: %d, want %d", path, code, want)
+		}
+	}
+	old.call(t, "POST", "/maintenance/enter?who=writer-1") // twice is the same as once
+	ask := func(id string) {
+		t.Helper()
+		req := request(old, id, "send-message")
+		req.Close = true // each on a connection of its own
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(id, err)
+		}
+		text, err := io.ReadAll(res.Body)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatal(id, res.StatusCode, err, string(text))
+		}
+	}
+	ask("u0")
+	next := begin(t, fleet.Config(addr), "")
+	next.operators = "http://" + next.line(t, `msg=serving .*front=operator listen=(\S+)`)
+	next.line(t, `msg="(taking over)"`)
+	next.line(t, `msg=serving .*front=http listen=(\S+)`)
+	for i := range 20 {
+		ask(fmt.Sprint("both", i))
+	}
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.line(t, `msg=draining .*handed_on=(true)`)
+	for i := range 20 {
+		ask(fmt.Sprint("after", i))
+		if res, err := http.Get(old.http + "/health/ready"); err != nil || res.StatusCode != 200 {
+			t.Fatal("not ready while one takes over from the other", res, err)
+		}
+	}
+	old.line(t, "msg=(ended)")
+	if n := fleet.CallsAt("writer-1"); n != 0 {
+		t.Errorf("%d requests to a worker that is out", n)
+	}
+	if code := next.call(t, "POST", "/maintenance/exit?who=writer-1"); code != 200 {
+		t.Errorf("back: %d", code)
+	}
+	for i := 0; fleet.CallsAt("writer-1") == 0; i++ {
+		if i == 200 {
+			t.Fatal("a worker that was put back gets nothing")
+		}
+		ask(fmt.Sprint("back", i))
+	}
+}
+
 func TestOperatorsFileTurnsGRPCOn(t *testing.T) {
 	_, p := func() (*standin.Fleet, *program) {
 		fleet, err := standin.Start(standin.Options{GRPC: true, Tokens: 2})
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,6 +7,7 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -819,6 +820,16 @@
 	}
 }
 
+// End takes the news that this front ends: what has no answer yet gets its final one now.
+func (r *Router) End(now time.Duration) {
+	r.now = now
+	for _, id := range slices.Sorted(maps.Keys(r.open)) {
+		if p := r.open[id]; !p.answered {
+			r.giveUp(p)
+		}
+	}
+}
+
 // Timer takes a timer come due: a request's time is up.
 func (r *Router) Timer(now time.Duration, token uint64) {
 	r.now = now
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -965,6 +965,31 @@
 }
 
 // On a day on which all ids are new, a record must not keep what it takes for forgotten anyway.
+// A process that ends must leave no request without its answer and no state at a worker: nobody else
+// would let it go. A message that may have run is failed, anything else may be repeated.
+func TestEndAnswersWhatIsOpen(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Classes[1].Effect = Unsafe
+	r, f := start(t, set, fleet())
+	for id, class := range []int{0, 1, 1} {
+		q := ask(RequestID(id + 1))
+		q.Class = class
+		r.Request(0, q)
+	}
+	r.Outcome(1, Outcome{ID: 3, Server: f.last(), Status: Read})
+	r.End(2)
+	for _, want := range []string{"refuse 1", "fail 2", "fail 3", "release 1", "release 2", "release 3"} {
+		if !f.has(want) {
+			t.Errorf("no %q: %q", want, f.did)
+		}
+	}
+	r.End(3)
+	if f.count("refuse") != 1 || f.count("fail") != 2 {
+		t.Errorf("answered twice: %q", f.did)
+	}
+}
+
 func TestRecordsHoldNoForgottenPrefixes(t *testing.T) {
 	p := newPrefixes()
 	for i := range uint64(1000) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,6 +97,7 @@
 	workers map[string]Worker // all that are listed
 	lives   map[decide.RequestID]*life
 	claimed map[string]bool // the ids that clients gave to their open requests
+	banned  map[string]bool // workers that operators have taken out, listed or not
 	lastID  decide.RequestID
 	running sync.WaitGroup // lives
 }
@@ -180,7 +181,7 @@
 			w.State = decide.Gone
 		}
 		c.workers[w.ID] = w
-		list.Servers = append(list.Servers, w.Server)
+		list.Servers = append(list.Servers, c.shown(w))
 	}
 	for id, w := range c.workers { // guards against a list that grows for as long as the router runs
 		if w.State == decide.Gone {
@@ -190,6 +191,42 @@
 	c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, list) })
 }
 
+// shown is a listed worker as the module is told of it: one that is out for maintenance drains, whatever
+// the list says.
+func (c *Core) shown(w Worker) decide.Server {
+	if c.banned[w.ID] && w.State == decide.Ready {
+		w.State = decide.Draining
+	}
+	return w.Server
+}
+
+// SetBanned names all workers that are out for maintenance. One that is not in the list stays out when
+// the list names it again.
+func (c *Core) SetBanned(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.banned
+	c.banned = make(map[string]bool)
+	for _, id := range ids {
+		c.banned[id] = true
+	}
+	var changed decide.ServerList
+	for id, w := range c.workers {
+		if old[id] != c.banned[id] {
+			changed.Servers = append(changed.Servers, c.shown(w))
+		}
+	}
+	if len(changed.Servers) > 0 {
+		c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, changed) })
+	}
+}
+
+// Known says whether a worker is listed.
+func (c *Core) Known(id string) bool {
+	_, ok := c.Worker(id)
+	return ok
+}
+
 // Worker returns a listed worker.
 func (c *Core) Worker(id string) (Worker, bool) {
 	c.mu.Lock()
@@ -203,7 +240,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
-	return ok && w.State == decide.Ready
+	return ok && c.shown(w).State == decide.Ready
 }
 
 // Serve takes a request and returns its final answer. What must be done after that (attempts to
@@ -223,6 +260,10 @@
 	return <-l.answer
 }
 
+// End has every open request answered at once: the process ends, and what it still held then would be
+// let go by nobody.
+func (c *Core) End() { c.tell(func(now time.Duration, r *decide.Router) { r.End(now) }) }
+
 // Wait returns when all that requests have left to do is done, or ctx ends.
 func (c *Core) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -8,13 +8,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -42,9 +45,10 @@
 	conns  map[*clientConn]bool
 	turned chan struct{} // bounds those that are being turned away
 	log    *slog.Logger
-	told   time.Time // the latest line about a full house, and since then:
-	away   int       // turned away
-	closed int       // closed for newcomers
+	told   time.Time     // the latest line about a full house, and since then:
+	away   int           // turned away
+	closed int           // closed for newcomers
+	ending chan struct{} // closed by leave
 }
 
 func newClients(l net.Listener, most int, again time.Duration, log *slog.Logger) *clients {
@@ -52,13 +56,14 @@
 	if again > 0 {
 		line = "Retry-After: " + seconds(again) + "\r\n"
 	}
-	return &clients{Listener: l, most: max(1, most), again: line, conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log}
+	return &clients{Listener: l, most: max(1, most), again: line, conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log,
+		ending: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
 func (l *clients) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -74,6 +79,103 @@
 	}
 }
 
+// accept takes the next connection. After leave it takes what has come and closes the socket.
+func (l *clients) accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		return c, nil
+	}
+	select {
+	case <-l.ending:
+	default:
+		return nil, err
+	}
+	t, ok := l.Listener.(*net.TCPListener)
+	if !ok || errors.Is(err, net.ErrClosed) {
+		return nil, err
+	}
+	// The deadline ends Accept before it looks: what waits in the socket's queue is taken one by one, with
+	// nothing between the last look and the close.
+	if c := waitingAt(t); c != nil {
+		return c, nil
+	}
+	t.Close()
+	return nil, net.ErrClosed
+}
+
+// waitingAt takes a connection that has come already, nil where there is none.
+func waitingAt(t *net.TCPListener) net.Conn {
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	fd := -1
+	_ = raw.Control(func(l uintptr) {
+		if n, _, err := syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err == nil {
+			fd = n
+		}
+	})
+	if fd < 0 {
+		return nil
+	}
+	file := os.NewFile(uintptr(fd), "client")
+	defer file.Close() // FileConn has its own copy
+	c, err := net.FileConn(file)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// leave gives the address up to another process that listens there too: what has come is still taken.
+// Guards against the reset of connections that wait in the queue of a socket that closes.
+func (l *clients) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.ending:
+		return
+	default:
+		close(l.ending)
+	}
+	if t, ok := l.Listener.(*net.TCPListener); ok {
+		_ = t.SetDeadline(time.Now())
+	}
+}
+
+// limit changes how many connections are held.
+func (l *clients) limit(most int) {
+	l.mu.Lock()
+	l.most = max(1, most)
+	l.mu.Unlock()
+}
+
+// sweep closes connections at which no request is at work.
+func (l *clients) sweep() {
+	l.mu.Lock()
+	var old []*clientConn
+	for c := range l.conns {
+		switch kind := int(c.state.Load()); {
+		case kind == atWork && c.half.Load(): // a body that has stopped
+			if time.Since(epoch)-time.Duration(c.at.Load()) > halfMin {
+				old = append(old, c)
+			}
+		case (kind == waiting || kind == idle) && c.state.CompareAndSwap(int32(kind), shed):
+			old = append(old, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Guard returns l such that at most so many connections to server are held and the silent ones make room.
+func Guard(server *http.Server, l net.Listener, most int, log *slog.Logger) net.Listener {
+	server.ConnContext, server.ConnState, server.MaxHeaderBytes = withConn, connState, maxHead
+	return newClients(l, most, 0, log)
+}
+
 // admit takes a connection in, or returns nil where all that there may be are at work.
 func (l *clients) admit(c net.Conn) *clientConn {
 	for {
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -102,8 +102,17 @@
 	mu   sync.Mutex
 	addr string
 	stop context.CancelFunc
+	told chan struct{} // closed once discovery has said anything
 }
 
+// NewDiscovery returns a Discovery that follows nobody yet and reads lines of so many bytes, 0 = watchLine.
+func NewDiscovery(names Names, c *core.Core, line int, log *slog.Logger) *Discovery {
+	return &Discovery{Names: names, Core: c, Log: log, Line: line, told: make(chan struct{})}
+}
+
+// Told is closed once discovery has told the first line.
+func (d *Discovery) Told() <-chan struct{} { return d.told }
+
 // wholeList asks for the whole list before the watch.
 const wholeList = -1
 
@@ -213,6 +222,11 @@
 		return context.Cause(ctx)
 	}
 	d.Core.SetWorkers(l.Whole, d.Names.Workers(l, d.Log))
+	select {
+	case <-d.told:
+	default:
+		close(d.told)
+	}
 	d.Log.Info("worker list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts))
 	return nil
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -45,9 +45,11 @@
 	headTxn    = "X-Txn"
 	headLeft   = "X-Remaining-Ms"
 	statusFail = http.StatusBadGateway
-	handSpread = 600 * time.Millisecond // streams are handed over one by one within this
-	closeAfter = 600 * time.Millisecond // after SIGTERM connections still arrive for so long
-	writeLimit = 30 * time.Second       // a client that takes nothing for so long is let go
+	handSpread = 600 * time.Millisecond  // streams are handed over one by one within this
+	closeAfter = 600 * time.Millisecond  // after SIGTERM connections still arrive for so long
+	emptyAfter = 1500 * time.Millisecond // in standby connections without a request end after this ...
+	emptyAgain = 100 * time.Millisecond  // ... and are looked for so often
+	writeLimit = 30 * time.Second        // a client that takes nothing for so long is let go
 )
 
 // Stream is what an Answer of this front streams: a worker's events as they stand on the wire.
@@ -65,7 +67,7 @@
 	// Bridges has a way to the workers of each other wire. Set before Serve.
 	Bridges map[string]Bridge
 	// Bodies is how many bytes of bodies are held at once; past it new requests are refused.
-	Bodies int64
+	Bodies atomic.Int64
 	// HandOver is how long after the beginning of Shutdown the streams that still run are cut, so that their
 	// clients ask another router for the rest while there is one; 0 where clients don't.
 	HandOver time.Duration
@@ -78,16 +80,23 @@
 	server  *http.Server
 	writes  time.Duration // writeLimit
 	bodies  atomic.Int64
-	ready   atomic.Bool
 	over    context.Context // ends when streams are handed over
 	cut     context.CancelFunc
+
+	mu      sync.Mutex
+	clients *clients // nil before Serve
+	most    int      // set by Limit
+	standby bool     // operators want the router empty
+	ending  bool     // Shutdown has begun
+	heir    bool     // and another process serves in this one's place
 }
 
 // New returns a Front that serves the classes with the given names, in the order of their numbers.
 // pages serves what else stands on its port; nil: nothing.
 func New(c *core.Core, w *Workers, classNames []string, pages func(http.Handler) http.Handler, logger *slog.Logger) *Front {
 	over, cut := context.WithCancel(context.Background())
-	f := &Front{over: over, cut: cut, core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit, Bodies: maxBodies}
+	f := &Front{over: over, cut: cut, core: c, workers: w, classes: ClassesOf(classNames), log: logger, writes: writeLimit}
+	f.Bodies.Store(maxBodies)
 	quiet := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the worker's address is the core's choice, made in RoundTrip
@@ -113,18 +122,76 @@
 
 // Serve serves clients on l, at most maxConns at once, until Shutdown.
 func (f *Front) Serve(l net.Listener, maxConns int) error {
-	f.ready.Store(true)
-	err := f.server.Serve(newClients(l, maxConns, f.core.Busy(), f.log))
-	if errors.Is(err, http.ErrServerClosed) {
+	f.mu.Lock()
+	if f.most > 0 {
+		maxConns = f.most
+	}
+	f.clients = newClients(l, maxConns, f.core.Busy(), f.log)
+	held := f.clients
+	f.mu.Unlock()
+	err := f.server.Serve(held)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
+// Limit changes how many connections of clients are held.
+func (f *Front) Limit(maxConns int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.most = maxConns
+	if f.clients != nil {
+		f.clients.limit(maxConns)
+	}
+}
+
+// ready says whether new clients are wanted. A process that ends while another serves in its place says so
+// too: the router as a whole goes on.
+func (f *Front) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clients != nil && !f.standby && (!f.ending || f.heir)
+}
+
+// Standby empties the front: it is not ready any more, each connection ends with its answer, and those at
+// which no request is at work end soon. Off puts it back to work. What comes all the same is served.
+func (f *Front) Standby(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ending || f.standby == on {
+		return
+	}
+	f.standby = on
+	f.server.SetKeepAlivesEnabled(!on)
+	if on {
+		time.AfterFunc(emptyAfter, f.empty)
+	}
+}
+
+// empty closes again and again what holds no request, for as long as the front is in standby.
+func (f *Front) empty() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.standby || f.ending {
+		return
+	}
+	if f.clients != nil {
+		f.clients.sweep()
+	}
+	time.AfterFunc(emptyAgain, f.empty)
+}
+
 // Shutdown ends the front in good order: it answers what has come and what still comes for a
-// while, ends idle connections at once, and cuts the streams that still run when ctx ends.
-func (f *Front) Shutdown(ctx context.Context) {
-	f.ready.Store(false)
+// while, ends idle connections at once, and cuts the streams that still run when ctx ends. heir says that
+// another process listens at the same address by now and gets all that is new.
+func (f *Front) Shutdown(ctx context.Context, heir bool) {
+	f.mu.Lock()
+	f.ending, f.heir = true, heir
+	if heir && f.clients != nil {
+		f.clients.leave()
+	}
+	f.mu.Unlock()
 	// Connections between two requests are ended now; the others are when their answer is out.
 	f.server.SetKeepAlivesEnabled(false)
 	if f.HandOver > 0 {
@@ -146,7 +213,7 @@
 // ServeHTTP takes one request from a client.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == pathReady && r.Method == http.MethodGet {
-		if !f.ready.Load() {
+		if !f.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -165,7 +232,7 @@
 		reserved = min(reserved, r.ContentLength)
 	}
 	defer func() { f.bodies.Add(-reserved) }()
-	if f.bodies.Add(reserved) > f.Bodies { // guards the memory limit against many large bodies at once
+	if f.bodies.Add(reserved) > f.Bodies.Load() { // guards the memory limit against many large bodies at once
 		refuse(w.Header(), f.core.Busy())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -262,7 +262,7 @@
 	}))
 	defer s.Close()
 	c, _ := core.New(decide.Settings{Fronts: 1, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, quiet)
-	d := &Discovery{Names: Names{Kinds: []string{"m"}, Zones: []string{"a"}}, Core: c, Log: quiet}
+	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, quiet)
 	defer d.Close()
 	d.Follow(s.Listener.Addr().String(), 41)
 	if a, b := <-got, <-got; a != "41" || b != "" {
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -41,19 +41,20 @@
 	transport *http.Transport
 	log       *slog.Logger
 	open      atomic.Int64
-	limit     int64
+	limit     atomic.Int64
 }
 
 // NewWorkers returns a client that holds at most maxConns connections, none of them idle for as
 // long as the workers' limit.
 func NewWorkers(connectTimeout, connIdle time.Duration, maxConns int, log *slog.Logger) *Workers {
-	w := &Workers{log: log, limit: int64(maxConns)}
+	w := &Workers{log: log}
+	w.limit.Store(int64(maxConns))
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if w.open.Add(1) > w.limit { // guards the limit of descriptors: idle ones make room
+			if w.open.Add(1) > w.limit.Load() { // guards the limit of descriptors: idle ones make room
 				w.transport.CloseIdleConnections()
-				if w.open.Load() > w.limit {
+				if w.open.Load() > w.limit.Load() {
 					w.open.Add(-1)
 					return nil, errTooMany
 				}
@@ -72,6 +73,14 @@
 	return w
 }
 
+// Limit changes how many connections are held; idle ones make room.
+func (w *Workers) Limit(maxConns int) {
+	w.limit.Store(int64(maxConns))
+	if w.open.Load() > int64(maxConns) {
+		w.transport.CloseIdleConnections()
+	}
+}
+
 // Exchange is one client's request as it is sent to workers over HTTP. It is a core.Carrier.
 type Exchange struct {
 	Workers     *Workers
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,194 @@
+// Package operator is the operators' own address: status, maintenance of workers, standby. This file owns
+// the calls and what they have asked for, in this process and in the one that takes over from it. It must
+// never decide where requests go: a worker that is out counts as draining, and the rest is the module's.
+package operator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"rowanyard/internal/httpfront"
+)
+
+const (
+	callTime = 2 * time.Second        // a call has come and gone after this
+	lookTime = 100 * time.Millisecond // the other process's news is looked for so often
+	maxWho   = 256                    // bytes of a worker's id
+)
+
+// Router is what the calls act on.
+type Router interface {
+	// Known says whether the list of workers has this one.
+	Known(id string) bool
+	// SetBanned names all workers that are out for maintenance.
+	SetBanned(ids []string)
+}
+
+// Desk carries out the operators' calls.
+type Desk struct {
+	Share   *Share
+	Router  Router
+	Standby func(on bool) // empties the fronts, or puts them back to work
+	Serving func() bool
+	Log     *slog.Logger
+
+	mu    sync.Mutex
+	state State
+	mine  int // this process's number
+}
+
+// Begin takes what holds from before: what an older process was told.
+func (d *Desk) Begin() {
+	d.change(func(st *State) {
+		if d.Share.Alone() { // nobody serves any more
+			st.Serving = 0
+		}
+		st.Started++
+	})
+	d.mine = d.state.Started
+}
+
+// Serves tells an older process that this one has begun to serve.
+func (d *Desk) Serves() { d.change(func(st *State) { st.Serving = d.mine }) }
+
+// Succeeded says that a newer process serves in this one's place.
+func (d *Desk) Succeeded() bool {
+	d.look()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Serving > d.mine
+}
+
+// Watch follows what the other process is told, until ctx ends.
+func (d *Desk) Watch(ctx context.Context) {
+	for t := time.NewTicker(lookTime); ; {
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+			d.look()
+		}
+	}
+}
+
+func (d *Desk) look() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Share.path == "" {
+		return
+	}
+	if st, err := d.Share.Load(); err == nil {
+		d.take(st)
+	}
+}
+
+// change changes the state here and in the file. Where the file fails it holds here all the same.
+func (d *Desk) change(change func(*State)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	st, err := State{}, error(nil)
+	if d.Share.path != "" {
+		st, err = d.Share.Update(change)
+	}
+	if err != nil || d.Share.path == "" {
+		st = d.state
+		st.Banned = slices.Clone(st.Banned)
+		change(&st)
+	}
+	if err != nil {
+		d.Log.Error("what operators asked for is not kept for an upgrade", "err", err)
+	}
+	d.take(st)
+}
+
+// take makes st what holds here.
+func (d *Desk) take(st State) {
+	old := d.state
+	d.state = st
+	if !slices.Equal(old.Banned, st.Banned) {
+		d.Log.Info("maintenance", "out", st.Banned)
+		d.Router.SetBanned(st.Banned)
+	}
+	if old.Standby != st.Standby {
+		d.Log.Info("standby", "on", st.Standby)
+		d.Standby(st.Standby)
+	}
+}
+
+func (d *Desk) out(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Contains(d.state.Banned, id)
+}
+
+// ServeHTTP carries out one call.
+func (d *Desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	method, call := http.MethodPost, func() int { return http.StatusOK }
+	switch r.URL.Path {
+	case "/status":
+		method = http.MethodGet
+		call = func() int {
+			if !d.Serving() {
+				return http.StatusServiceUnavailable
+			}
+			return http.StatusOK
+		}
+	case "/maintenance/enter", "/maintenance/exit":
+		call = func() int { return d.maintain(r.URL.Query()["who"], r.URL.Path == "/maintenance/enter") }
+	case "/standby", "/active":
+		call = func() int {
+			d.change(func(st *State) { st.Standby = r.URL.Path == "/standby" })
+			return http.StatusOK
+		}
+	default:
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		http.Error(w, "wrong method", http.StatusMethodNotAllowed)
+		return
+	}
+	code := call()
+	if code != http.StatusOK {
+		d.Log.Warn("operator's call refused", "path", r.URL.Path, "query", r.URL.RawQuery, "status", code)
+	}
+	w.WriteHeader(code)
+}
+
+// maintain takes a worker out or puts it back. Taking it out twice is the same as once.
+func (d *Desk) maintain(who []string, enter bool) int {
+	if len(who) != 1 || who[0] == "" || len(who[0]) > maxWho {
+		return http.StatusBadRequest
+	}
+	id := who[0]
+	if !d.Router.Known(id) && !d.out(id) {
+		return http.StatusNotFound
+	}
+	d.change(func(st *State) {
+		st.Banned = slices.DeleteFunc(st.Banned, func(b string) bool { return b == id })
+		if enter {
+			st.Banned = append(st.Banned, id)
+		}
+	})
+	return http.StatusOK
+}
+
+// Serve answers calls on l, one a connection, until l is closed. Whoever connects and says nothing makes
+// room for others, of whom most are held at once.
+func (d *Desk) Serve(l net.Listener, most int) error {
+	server := &http.Server{Handler: d, ReadTimeout: callTime, WriteTimeout: callTime,
+		ErrorLog: slog.NewLogLogger(d.Log.Handler(), slog.LevelDebug)}
+	server.SetKeepAlivesEnabled(false)
+	if err := server.Serve(httpfront.Guard(server, l, most, d.Log)); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/share.go
@@ -0,0 +1,116 @@
+package operator
+
+// This file owns what two processes of one router share while one takes over from the other: a small file in
+// the folder that both have, and a lock that tells whether the older one still runs. It must never hold a
+// call up, nor be needed for serving: where the file can't be had, each process goes by what it knows.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// State is what operators have asked for and what holds until they take it back, over upgrades too.
+type State struct {
+	Started int      `json:"started"` // processes that have started so far
+	Serving int      `json:"serving"` // the number of the latest that has begun to serve
+	Banned  []string `json:"banned"`  // workers that are out for maintenance
+	Standby bool     `json:"standby"` // the router is to be empty
+}
+
+// Share is one process's side of the file. The zero value shares nothing.
+type Share struct {
+	path  string
+	alive *os.File // locked for as long as the process that has it runs
+	mu    sync.Mutex
+	alone bool
+}
+
+// Open joins the router's other processes in dir; "" shares nothing.
+func Open(dir, name string) (*Share, error) {
+	s := &Share{}
+	if dir == "" {
+		return s, nil
+	}
+	plain := strings.Map(func(r rune) rune {
+		if r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r == '-' || r == '_' {
+			return r
+		}
+		return '.'
+	}, name)
+	path := filepath.Join(dir, "rowanyard-"+plain+".json")
+	alive, err := os.OpenFile(path+".alive", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return s, err
+	}
+	s.path, s.alive = path, alive
+	return s, nil
+}
+
+// Alone says that no other process of the router runs that came before this one.
+func (s *Share) Alone() bool {
+	if s.alive == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.alone { // the lock goes with its process, however that ends
+		s.alone = syscall.Flock(int(s.alive.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil
+	}
+	return s.alone
+}
+
+// Load reads the file; one that is not there yet says nothing.
+func (s *Share) Load() (State, error) {
+	var st State
+	if s.path == "" {
+		return st, nil
+	}
+	text, err := os.ReadFile(s.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return st, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &st)
+	}
+	if err != nil {
+		return State{}, fmt.Errorf("shared state: %w", err)
+	}
+	return st, nil
+}
+
+// Update changes the file. A reader finds the old text or the new one, never a part. What can't be
+// read is replaced: it would never get better.
+func (s *Share) Update(change func(*State)) (State, error) {
+	if s.path == "" {
+		st := State{}
+		change(&st)
+		return st, nil
+	}
+	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return State{}, err
+	}
+	defer lock.Close()
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+		return State{}, err
+	}
+	st, _ := s.Load()
+	change(&st)
+	slices.Sort(st.Banned)
+	st.Banned = slices.Compact(st.Banned)
+	text, err := json.Marshal(st)
+	if err == nil {
+		err = os.WriteFile(s.path+".new", text, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(s.path+".new", s.path)
+	}
+	return st, err
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -60,6 +60,7 @@
 	watchers  map[chan struct{}]bool
 	held      map[string]bool // by request id
 	calls     map[string]int  // by stage and message
+	at        map[string]int  // calls by worker
 	effects   map[string]int  // writes that have run, by message
 	writes    map[string]int  // by request id
 	closers   []func()
@@ -82,7 +83,7 @@
 func Start(o Options) (*Fleet, error) {
 	o.Readers, o.Writers, o.Tokens = max(1, o.Readers), max(1, o.Writers), max(1, o.Tokens)
 	f := &Fleet{Options: o, watchers: make(map[chan struct{}]bool), held: make(map[string]bool),
-		calls: make(map[string]int), effects: make(map[string]int), writes: make(map[string]int), stop: make(chan struct{}), seq: 1}
+		calls: make(map[string]int), at: make(map[string]int), effects: make(map[string]int), writes: make(map[string]int), stop: make(chan struct{}), seq: 1}
 	for i := range o.Readers + o.Writers {
 		kind := "reader"
 		if i >= o.Readers {
@@ -94,7 +95,7 @@
 		}
 		f.hosts = append(f.hosts, Host{Host: fmt.Sprintf("%s-%d", kind, i), Dial: l.Addr().String(), Site: "here",
 			Class: kind, Block: 1, Health: "up", Share: 1})
-		w := &worker{fleet: f, reader: kind == "reader"}
+		w := &worker{fleet: f, name: f.hosts[i].Host, reader: kind == "reader"}
 		if o.GRPC {
 			g := grpc.NewServer()
 			pb.RegisterModelServerServer(g, w)
@@ -192,6 +193,13 @@
 	return f.calls[stage+" "+key]
 }
 
+// CallsAt is how often a worker has been sent anything to do.
+func (f *Fleet) CallsAt(host string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at[host]
+}
+
 // Held is how many states wait.
 func (f *Fleet) Held() int {
 	f.mu.Lock()
@@ -252,6 +260,7 @@
 type worker struct {
 	pb.UnimplementedModelServerServer
 	fleet  *Fleet
+	name   string
 	reader bool
 }
 
@@ -265,6 +274,7 @@
 	f.mu.Lock()
 	n := f.calls[stage+" "+key]
 	f.calls[stage+" "+key]++
+	f.at[w.name]++
 	f.mu.Unlock()
 	c := call{id: id, class: class, key: key}
 	if f.Behave != nil {
