Running streams go on in the process that takes over, with their sockets

Checked: the sockets were fine (0 requests ended at the door), the reads came from our own hand-over. Lines at fault: front.go, relay.Read, closes the stream when 'over' ends.

Design: internal/httpfront/handed.go. The newer process listens at a Unix socket in TMPDIR; the older one stops each stream between two bytes from its worker (an expired read deadline, the socket copied before the transport closes it), and sends where the chunks and the events stand and both sockets. The newer one passes the rest on and closes the client's connection after the last chunk. A stream that can't go (another wire, no socket) is cut as before. Not taken: a later cut (half as many, still a burst); the older process as a proxy for the rest (it is killed).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -247,7 +247,7 @@
 	part := 1.0
 	for t := time.NewTicker(shareLook); ; {
 		now := 1.0
-		if !desk.Share.Alone() || desk.Succeeded() {
+		if _, newer := desk.Successor(); newer || !desk.Share.Alone() {
 			now = twoShare
 		}
 		if now != part {
@@ -344,6 +344,9 @@
 	}
 	if !shared.Alone() { // there is time: the other one serves
 		log.Info("taking over")
+		if err := front.TakeFrom(desk.Socket()); err != nil {
+			log.Error("no streams are taken over", "err", err)
+		}
 		select {
 		case <-discovery.Told():
 		case <-time.After(firstList):
@@ -404,8 +407,11 @@
 		kill = max(kill, min(leastEnd, k.Deadline)+killMargin)
 	}
 	defer time.AfterFunc(kill-giveUpTime, c.End).Stop()
-	heir := desk.Succeeded()
-	log.Info("draining", "for_at_most", longest.String(), "handed_on", heir)
+	heir, handed := desk.Successor()
+	if !handed {
+		heir = ""
+	}
+	log.Info("draining", "for_at_most", longest.String(), "handed_on", handed)
 	end, cancel := context.WithTimeout(context.Background(), longest+killMargin-endMargin)
 	defer cancel()
 	if front.HandOver > 0 {
--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -352,6 +352,38 @@
 	}
 }
 
+// A stream that runs when the older process has to end must go on in the newer one, byte for byte, and not be
+// read or written anew.
+func TestAStreamGoesOnInTheNextProcess(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(standin.Options{Tokens: 80, TokenTime: 50 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	old := begin(t, fleet.Config("127.0.0.1:0"), "")
+	addr := old.line(t, `msg=serving .*front=http listen=(\S+)`)
+	old.http = "http://" + addr
+	res, err := http.DefaultClient.Do(request(old, "h1", "send-message"))
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	next := begin(t, fleet.Config(addr), "")
+	next.line(t, `msg=serving .*front=http listen=(\S+)`)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.line(t, "msg=(ended)")
+	last := begin(t, fleet.Config(addr), "") // and in the one after that
+	last.line(t, `msg=serving .*front=http listen=(\S+)`)
+	next.cmd.Process.Signal(syscall.SIGTERM)
+	text, err := io.ReadAll(res.Body)
+	if err != nil || strings.Count(string(text), "data: ") != 82 || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		t.Errorf("%v: %q", err, text)
+	}
+	if fleet.Effects()["send-message h1"] != 1 || fleet.Calls("read", "h1") != 1 {
+		t.Errorf("effects %v, read %d times", fleet.Effects(), fleet.Calls("read", "h1"))
+	}
+}
+
 func TestOperatorsFileTurnsGRPCOn(t *testing.T) {
 	_, p := func() (*standin.Fleet, *program) {
 		fleet, err := standin.Start(standin.Options{GRPC: true, Tokens: 2})
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,8 @@
 	done  atomic.Bool
 	asked atomic.Bool // a request has been written since the last answer's end
 	bad   atomic.Bool // serves no further use
+	hand  atomic.Bool // its answer is to go on in another process
+	gift  int         // the socket for that, once Read has returned errHanded
 
 	// Owned by Read, which the transport calls from one goroutine.
 	buf   []byte // a head that is not whole yet, or what is to be handed over of it
@@ -132,6 +135,12 @@
 		}
 		if err != nil {
 			c.err = err
+			// The transport closes the connection as soon as it has the error.
+			if c.hand.Load() && errors.Is(err, os.ErrDeadlineExceeded) && c.state == inChunks && n == 0 {
+				if fd, err := dup(c.Conn); err == nil {
+					c.gift, c.err = fd, errHanded
+				}
+			}
 		}
 		if n, err = c.body(p[:n]); err != nil {
 			c.fail(err)
@@ -258,9 +267,9 @@
 // chunkScan follows a chunked body.
 type chunkScan struct {
 	state chunkState
-	left  int64 // of the chunk
-	count int   // of the line
-	last  bool
+	left  int64          // of the chunk
+	count int            // of the line
+	keep  func(p []byte) // gets the data, nil = nobody
 }
 
 type chunkState int
@@ -284,6 +293,9 @@
 		switch s.state {
 		case chunkData:
 			take := min(s.left, int64(len(p)-n))
+			if s.keep != nil {
+				s.keep(p[n : n+int(take)])
+			}
 			n += int(take)
 			if s.left -= take; s.left == 0 {
 				s.state = chunkCR
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -25,6 +25,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"rowanyard/decide"
@@ -85,6 +86,8 @@
 
 	mu      sync.Mutex
 	clients *clients // nil before Serve
+	handed  *Handed  // nil where nothing is taken from another process
+	heirs   heir     // the process that takes over
 	most    int      // set by Limit
 	standby bool     // operators want the router empty
 	ending  bool     // Shutdown has begun
@@ -183,15 +186,18 @@
 }
 
 // Shutdown ends the front in good order: it answers what has come and what still comes for a
-// while, ends idle connections at once, and cuts the streams that still run when ctx ends. heir says that
-// another process listens at the same address by now and gets all that is new.
-func (f *Front) Shutdown(ctx context.Context, heir bool) {
+// while, ends idle connections at once, and cuts the streams that still run when ctx ends. heir is the
+// path at which another process takes streams, which listens at the same address by now and gets all that is
+// new; "" where there is none.
+func (f *Front) Shutdown(ctx context.Context, heir string) {
 	f.mu.Lock()
-	f.ending, f.heir = true, heir
-	if heir && f.clients != nil {
+	f.ending, f.heir = true, heir != ""
+	if f.heir && f.clients != nil {
 		f.clients.leave()
 	}
+	taken := f.handed
 	f.mu.Unlock()
+	f.heirs.set(heir)
 	// Connections between two requests are ended now; the others are when their answer is out.
 	f.server.SetKeepAlivesEnabled(false)
 	if f.HandOver > 0 {
@@ -208,6 +214,9 @@
 		f.log.Warn("streams cut at the end", "err", err)
 		f.server.Close()
 	}
+	if taken != nil {
+		taken.end(ctx)
+	}
 }
 
 // ServeHTTP takes one request from a client.
@@ -509,7 +518,10 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over}
+		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over, heirs: &t.f.heirs, log: t.f.log}
+		if c, ok := out.Context().Value(connKey{}).(*clientConn); ok && out.ProtoAtLeast(1, 1) {
+			res.Body.(*relay).conn = c
+		}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
 		refuse(res.Header, a.RetryAfter)
@@ -531,12 +543,30 @@
 	over   context.Context // when it ends the stream is cut, but not before something of it has passed
 	keep   func() bool
 	moved  atomic.Bool
+	heirs  *heir
+	conn   *clientConn // nil where the answer has no chunks
+	given  bool        // Read ends with errHanded next
+	log    *slog.Logger
 }
 
 func (r *relay) Read(p []byte) (int, error) {
-	n, err := r.Stream.Read(p)
+	n, err := 0, errHanded
+	if !r.given {
+		n, err = r.Stream.Read(p)
+	}
+	if err == errHanded {
+		if r.given = true; n > 0 { // is passed on first
+			return n, nil
+		}
+		if r.give() {
+			r.ended(decide.Served) // as far as this process goes
+		}
+	}
 	if r.keep == nil && n > 0 {
 		r.keep = context.AfterFunc(r.over, func() {
+			if s, ok := r.Stream.(*stream); ok && r.conn != nil && r.heirs.get() != "" && s.handOver() {
+				return
+			}
 			// Guards the other routers: all at once would be a burst of prompts to read.
 			time.Sleep(rand.N(handSpread))
 			r.moved.Store(true)
@@ -548,7 +578,7 @@
 	switch {
 	case err == io.EOF:
 		r.ended(decide.Served)
-	case err != nil && r.moved.Load():
+	case err != nil && r.moved.Load(), err == errHanded:
 		r.ended(decide.Cancelled)
 	case err != nil:
 		r.ended(decide.Reset)
@@ -556,6 +586,22 @@
 	return n, err
 }
 
+// give hands the stream to the process that takes over. If that fails it breaks, and its client asks for
+// the rest.
+func (r *relay) give() bool {
+	s := r.Stream.(*stream)
+	defer syscall.Close(s.conn.gift)
+	client, err := dup(r.conn.Conn)
+	if err == nil {
+		defer syscall.Close(client)
+		err = give(r.heirs.get(), handedOf(s.conn.chunk, s.scan), client, s.conn.gift)
+	}
+	if err != nil {
+		r.log.Warn("a stream was not handed on", "err", err)
+	}
+	return err == nil
+}
+
 func (r *relay) Close() error {
 	if r.keep != nil {
 		r.keep()
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -444,7 +444,7 @@
 		}
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
-		f.Shutdown(ctx, false)
+		f.Shutdown(ctx, "")
 		if after == 0 {
 			close(more)
 		}
--- /dev/null
+++ b/internal/httpfront/handed.go
@@ -0,0 +1,283 @@
+package httpfront
+
+// This file owns the streams that pass from one process of a router to the one that takes over from it:
+// both sockets go over a Unix socket, with what is known of the stream at that byte, and neither client nor
+// worker notices. It must never let two processes write to one client, nor go on with a stream of
+// which it does not know exactly where it stands.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	handTime = 300 * time.Millisecond // the other process takes a stream within this
+	handSize = 4 << 10                // bytes of what is told about one
+	handFds  = 2                      // its client's socket and its worker's
+)
+
+var errHanded = errors.New("handed to the process that takes over")
+
+// handed is where a stream stands, between two bytes from its worker.
+type handed struct {
+	Chunk  chunkState `json:"chunk"`
+	Left   int64      `json:"left"`
+	Count  int        `json:"count"`
+	Line   []byte     `json:"line"`
+	Length int        `json:"length"`
+	Fine   bool       `json:"fine"`
+	Note   bool       `json:"note"`
+}
+
+func handedOf(c chunkScan, e eventScan) handed {
+	return handed{c.state, c.left, c.count, e.line, e.count, e.fine, e.note}
+}
+
+// scans are the followers of the stream from there on.
+func (h handed) scans() (chunkScan, eventScan, error) {
+	if h.Chunk < chunkSize || h.Chunk > trailerLF || h.Left < 0 || h.Left > maxChunk || h.Count < 0 || h.Length < 0 || len(h.Line) > h.Length {
+		return chunkScan{}, eventScan{}, fmt.Errorf("a stream at %+v", h)
+	}
+	return chunkScan{state: h.Chunk, left: h.Left, count: h.Count},
+		eventScan{line: h.Line, count: h.Length, fine: h.Fine, note: h.Note}, nil
+}
+
+// give sends a stream and its sockets to the process that listens at path, and returns when it has them.
+func give(path string, h handed, client, worker int) error {
+	text, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	c, err := net.DialTimeout("unixpacket", path, handTime)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(handTime))
+	if _, _, err := c.(*net.UnixConn).WriteMsgUnix(text, syscall.UnixRights(client, worker), nil); err != nil {
+		return err
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err
+}
+
+// dup makes another descriptor of a connection's socket.
+func dup(c net.Conn) (int, error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return -1, errors.ErrUnsupported
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return -1, err
+	}
+	fd, failed := -1, error(nil)
+	if err := raw.Control(func(of uintptr) {
+		syscall.ForkLock.RLock()
+		defer syscall.ForkLock.RUnlock()
+		if fd, failed = syscall.Dup(int(of)); failed == nil {
+			syscall.CloseOnExec(fd)
+		}
+	}); err != nil {
+		return -1, err
+	}
+	return fd, failed
+}
+
+// Handed takes streams from an older process.
+type Handed struct {
+	l    *net.UnixListener
+	log  *slog.Logger
+	over context.Context // when it ends they go on to the next process
+	next *heir
+
+	running sync.WaitGroup
+}
+
+// heir is where streams go at the end; no path, nowhere.
+type heir struct {
+	mu   sync.Mutex
+	path string
+}
+
+func (h *heir) set(path string) { h.mu.Lock(); h.path = path; h.mu.Unlock() }
+func (h *heir) get() string     { h.mu.Lock(); defer h.mu.Unlock(); return h.path }
+
+// TakeFrom listens at path for the streams of an older process; Shutdown ends it.
+func (f *Front) TakeFrom(path string) error {
+	_ = os.Remove(path)
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		return err
+	}
+	h := &Handed{l: l, log: f.log, over: f.over, next: &f.heirs}
+	f.mu.Lock()
+	f.handed = h
+	f.mu.Unlock()
+	go h.serve()
+	return nil
+}
+
+// end takes nothing more and waits for what runs.
+func (h *Handed) end(ctx context.Context) {
+	h.l.Close()
+	done := make(chan struct{})
+	go func() { h.running.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Handed) serve() {
+	for {
+		c, err := h.l.AcceptUnix()
+		if err != nil {
+			return
+		}
+		if err := h.take(c); err != nil {
+			h.log.Warn("a stream was not taken over", "err", err)
+		}
+		c.Close()
+	}
+}
+
+// take receives one stream.
+func (h *Handed) take(c *net.UnixConn) error {
+	_ = c.SetDeadline(time.Now().Add(handTime))
+	text, rights := make([]byte, handSize), make([]byte, syscall.CmsgSpace(handFds*4))
+	n, m, _, _, err := c.ReadMsgUnix(text, rights)
+	if err != nil {
+		return err
+	}
+	var fds []int
+	if all, err := syscall.ParseSocketControlMessage(rights[:m]); err == nil {
+		for _, one := range all {
+			got, _ := syscall.ParseUnixRights(&one)
+			fds = append(fds, got...)
+		}
+	}
+	var conns []net.Conn
+	for _, fd := range fds {
+		file := os.NewFile(uintptr(fd), "handed")
+		if conn, err := net.FileConn(file); err == nil {
+			conns = append(conns, conn)
+		}
+		file.Close()
+	}
+	s := &handedStream{from: h}
+	var at handed
+	if err = json.Unmarshal(text[:n], &at); err == nil {
+		s.chunk, s.events, err = at.scans()
+	}
+	if len(conns) != handFds && err == nil {
+		err = fmt.Errorf("%d sockets of %d", len(conns), handFds)
+	}
+	if err == nil {
+		_, err = c.Write([]byte("+"))
+	}
+	if err != nil {
+		for _, conn := range conns {
+			conn.Close()
+		}
+		return err
+	}
+	s.client, s.worker = conns[0], conns[1]
+	h.running.Add(1)
+	go func() {
+		defer h.running.Done()
+		s.run()
+	}()
+	return nil
+}
+
+// handedStream is a stream that an older process began.
+type handedStream struct {
+	from           *Handed
+	client, worker net.Conn
+	chunk          chunkScan
+	events         eventScan
+}
+
+// run passes the rest of the stream on. Its client's connection ends with it.
+func (s *handedStream) run() {
+	defer s.client.Close()
+	defer s.worker.Close()
+	// Guards against a stream that goes on with nobody to read it: what comes from the client is its end.
+	go func() {
+		_, _ = s.client.Read(make([]byte, 1))
+		s.worker.Close()
+	}()
+	defer context.AfterFunc(s.from.over, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
+	buf, out := make([]byte, copyBuffer), []byte(nil)
+	s.chunk.keep = func(p []byte) { out = append(out, p...) }
+	for {
+		if s.from.over.Err() == nil {
+			_ = s.worker.SetReadDeadline(time.Now().Add(StallLimit))
+		}
+		if s.from.over.Err() != nil { // asked again: the deadline just set may have undone the other one
+			s.pass()
+			return
+		}
+		n, err := s.worker.Read(buf)
+		out = out[:0]
+		_, end, bad := s.chunk.feed(buf[:n])
+		fit, _, odd := s.events.feed(out)
+		if fit > 0 && s.write(out[:fit]) != nil {
+			return
+		}
+		switch {
+		case bad != nil || odd != nil:
+			s.from.log.Info("stream broke off", "handed", true, "err", errors.Join(bad, odd))
+			return
+		case end:
+			if s.events.count == 0 {
+				_ = s.client.SetWriteDeadline(time.Now().Add(writeLimit))
+				_, _ = s.client.Write([]byte("0\r\n\r\n"))
+			}
+			return
+		case err != nil && s.from.over.Err() != nil:
+			s.pass()
+			return
+		case err != nil:
+			s.from.log.Info("stream broke off", "handed", true, "err", err)
+			return
+		}
+	}
+}
+
+// write passes bytes on as one chunk.
+func (s *handedStream) write(p []byte) error {
+	_ = s.client.SetWriteDeadline(time.Now().Add(writeLimit))
+	chunk := fmt.Appendf(make([]byte, 0, len(p)+16), "%x\r\n", len(p))
+	_, err := s.client.Write(append(append(chunk, p...), "\r\n"...))
+	return err
+}
+
+// pass hands the stream on once more.
+func (s *handedStream) pass() {
+	path := s.from.next.get()
+	if path == "" {
+		return
+	}
+	client, err := dup(s.client)
+	if err == nil {
+		defer syscall.Close(client)
+		var worker int
+		if worker, err = dup(s.worker); err == nil {
+			defer syscall.Close(worker)
+			err = give(path, handedOf(s.chunk, s.events), client, worker)
+		}
+	}
+	if err != nil {
+		s.from.log.Warn("a stream was not handed on", "err", err)
+	}
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -158,8 +158,15 @@
 	body := &bodyReader{r: bytes.NewReader(text), allowed: a.Allowed}
 	var wrote, broke, reused, came atomic.Bool
 	var idle atomic.Int64
+	var conn atomic.Pointer[workerConn]
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused); idle.Store(int64(i.IdleTime)) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			reused.Store(i.Reused)
+			idle.Store(int64(i.IdleTime))
+			if c, ok := i.Conn.(*workerConn); ok {
+				conn.Store(c)
+			}
+		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			wrote.Store(i.Err == nil)
 			broke.Store(i.Err != nil)
@@ -189,7 +196,7 @@
 		// What has begun to answer has fetched the state, whatever it went on with.
 		return core.Result{Status: failure(ctx, err, ran), NoState: !a.Read && ran && (came.Load() || errors.Is(err, errSpoilt)), Err: err}, unsent
 	}
-	return w.answer(ctx, a, res), false
+	return w.answer(ctx, a, res, conn.Load()), false
 }
 
 // failure names the end of an attempt without an answer.
@@ -206,9 +213,9 @@
 }
 
 // answer turns a worker's answer into a result.
-func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response) core.Result {
+func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response, conn *workerConn) core.Result {
 	if res.StatusCode == http.StatusOK && !a.Read {
-		s := &stream{res: res}
+		s := &stream{res: res, conn: conn}
 		s.stall = time.AfterFunc(firstEvent, func() { res.Body.Close() })
 		if err := s.open(); err != nil { // it broke, or makes no sense, before its first event was whole
 			s.Close()
@@ -344,7 +351,8 @@
 // stream is a worker's answer from its first event on.
 type stream struct {
 	res   *http.Response
-	first []byte // read and not passed on
+	conn  *workerConn // that it comes on
+	first []byte      // read and not passed on
 	scan  eventScan
 	stall *time.Timer
 }
@@ -412,6 +420,15 @@
 	return n, err
 }
 
+// handOver has Read end with errHanded at the next byte that has not come.
+func (s *stream) handOver() bool {
+	if s.conn == nil {
+		return false
+	}
+	s.conn.hand.Store(true)
+	return s.conn.Conn.SetReadDeadline(time.Now()) == nil
+}
+
 // Close ends the stream and, if it has not come to its end, its connection.
 func (s *stream) Close() error {
 	s.stall.Stop()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -57,12 +57,15 @@
 // Serves tells an older process that this one has begun to serve.
 func (d *Desk) Serves() { d.change(func(st *State) { st.Serving = d.mine }) }
 
-// Succeeded says that a newer process serves in this one's place.
-func (d *Desk) Succeeded() bool {
+// Socket is where this process takes the streams of an older one.
+func (d *Desk) Socket() string { return d.Share.Socket(d.mine) }
+
+// Successor says whether a newer process serves in this one's place, and where it takes streams.
+func (d *Desk) Successor() (string, bool) {
 	d.look()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.Serving > d.mine
+	return d.Share.Socket(d.state.Serving), d.state.Serving > d.mine
 }
 
 // Watch follows what the other process is told, until ctx ends.
--- a/internal/operator/share.go
+++ b/internal/operator/share.go
@@ -53,6 +53,14 @@
 	return s, nil
 }
 
+// Socket is where the process with this number takes streams; "" where nothing is shared.
+func (s *Share) Socket(number int) string {
+	if s.path == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s.%d", s.path, number)
+}
+
 // Alone says that no other process of the router runs that came before this one.
 func (s *Share) Alone() bool {
 	if s.alive == nil {
