What warm servers take is spread over the warm ones of their kind only

Fault: decide.go, well: what a warm server took was divided by all ready servers of the kind, so the pace allowed to cold ones fell with each further cold one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -560,7 +560,7 @@
 func (r *Router) well(s *server, wait float64) {
 	s.sign = r.now
 	if r.warm(s) {
-		r.kinds[s.Kind].took.add(r.now, 1/float64(max(1, r.kinds[s.Kind].ready)))
+		r.kinds[s.Kind].took.add(r.now, 1/float64(max(1, r.warmOnes(s.Kind))))
 	}
 	s.good.add(r.now, 1)
 	s.wait.add(max(0, wait), r.now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -603,6 +603,28 @@
 	}
 }
 
+// While many of a kind are cold, what the warm ones take must not be spread over all: the cold ones would
+// get next to nothing, and the warm ones drown.
+func TestColdOnesDoNotHideWhatWarmOnesTake(t *testing.T) {
+	r, f := start(t, settings(), fleet())
+	now := 200 * time.Second
+	for _, id := range []string{"r00", "r01", "r10"} {
+		r.Servers(now, ServerList{Servers: []Server{{ID: id, Kind: 0, Since: now}}})
+	}
+	r.began = 0
+	for id := RequestID(1); now < 206*time.Second; id++ {
+		q := ask(id)
+		q.Prefix = uint64(id)
+		r.Request(now, q)
+		r.well(r.servers["r11"], 0) // the warm one takes ten a second
+		now += 100 * ms
+	}
+	taken := 10 * (1 - math.Exp(-6.0/30))
+	if got := r.usual(0); got < 0.9*taken {
+		t.Errorf("warm ones are taken to take %.2f a second after 6 s of %.2f; %d sends", got, taken, len(f.sends))
+	}
+}
+
 // Many fronts that each see little must not push a cold server over together.
 func TestColdSumOverFronts(t *testing.T) {
 	for _, fronts := range []int{2, 220} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -224,6 +224,11 @@
 	}
 }
 
+// warmOnes is how many ready servers of a kind are warm.
+func (r *Router) warmOnes(kind int) int {
+	return len(filter(r.listed, func(s *server) bool { return s.Kind == kind && s.State == Ready && r.warm(s) }))
+}
+
 func (r *Router) cell(s *server) *cell {
 	if r.cells[s.Cell] == nil {
 		r.cells[s.Cell] = &cell{reads: rate{span: usualSpan}}
