--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -29,6 +29,7 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
+	"rowanyard/decide"
 	"rowanyard/internal/core"
 	"rowanyard/internal/describe"
 	"rowanyard/internal/extproc"
@@ -327,7 +328,17 @@
 	var serving atomic.Bool
 	desk := &operator.Desk{Share: shared, Router: c, Standby: front.Standby, Serving: serving.Load, Log: log}
 	desk.Begin()
-	go desk.Watch(ctx)
+	if !shared.Alone() {
+		var known decide.Learned
+		if ok, err := shared.Kept(&known); err != nil {
+			log.Error("what the other process had learned can't be read", "err", err)
+		} else if ok {
+			if err := c.Learn(known); err != nil {
+				log.Error("what the other process had learned is not taken", "err", err)
+			}
+		}
+	}
+	go desk.Watch(ctx, func() any { return c.Learned() })
 	go limits.share(ctx, desk, log)
 	if cfg.Operator != "" {
 		l, err := net.Listen("tcp", cfg.Operator)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,6 +66,7 @@
 	usualSpan = 30 * time.Second // how fast what warm servers took is forgotten
 	coldShare = 0.65             // used share of the allowed multiple of a cold server's capacity
 	coldIdle  = 0.7              // fronts that use their turns seldom get more, up to 1/0.7 of them
+	kinPart   = 0.7              // a kind without a warm server takes this part of what others take
 	coldGap   = 0.75             // a send that has faded to the rest of this leaves room for the next
 
 	// Overload.
@@ -683,10 +684,17 @@
 }
 
 // usual is what a warm server of the kind takes from this front in a second, as a long mean over
-// all of the kind: a front among many sees each server seldom.
+// all of the kind: a front among many sees each server seldom. Where none of the kind is warm, the
+// others of its role tell. Guards against cold servers that nobody dares to use after a release.
 func (r *Router) usual(kind int) float64 {
 	seen := 1 - math.Exp(-float64(r.now-r.began)/float64(usualSpan))
-	return r.kinds[kind].took.value(r.now) / max(seen, 0.1) / usualSpan.Seconds()
+	took := r.kinds[kind].took.value(r.now)
+	for i := range r.kinds {
+		if r.set.Kinds[i].Role == r.set.Kinds[kind].Role && r.warmOnes(kind) == 0 {
+			took = max(took, kinPart*r.kinds[i].took.value(r.now))
+		}
+	}
+	return took / max(seen, 0.1) / usualSpan.Seconds()
 }
 
 // warm says that s has been up for longer than the ramp takes.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -625,6 +625,30 @@
 	}
 }
 
+// A kind of which no server is warm goes by the others of its role, and a process that takes over by what the
+// older one had learned: else cold servers would get one request a window while the rest drown.
+func TestUsualOfAKindWithoutWarmServers(t *testing.T) {
+	set := settings()
+	set.Kinds = append(set.Kinds, Kind{Role: Reader, MemoryTokens: 200000})
+	old, _ := start(t, set, fleet())
+	now := 200 * time.Second
+	old.now = now
+	old.kinds[0].took.add(now, 5*usualSpan.Seconds())
+	r, _ := start(t, set, fleet())
+	if err := r.Learn(now, old.Learned()); err != nil {
+		t.Fatal(err)
+	}
+	r.Servers(now, ServerList{Servers: []Server{{ID: "new", Kind: 3, Since: now}}})
+	if a, b := r.usual(0), r.usual(3); a < 4.9 || a > 5.1 || b < 3 || b > a {
+		t.Errorf("usual %.2f of the warm kind, %.2f of the cold one", a, b)
+	}
+	bad := old.Learned()
+	bad.Near[0] = math.NaN()
+	if r.Learn(now, bad) == nil || r.Learn(now, Learned{}) == nil || r.usual(0) < 4.9 {
+		t.Error("took what makes no sense")
+	}
+}
+
 // Many fronts that each see little must not push a cold server over together.
 func TestColdSumOverFronts(t *testing.T) {
 	for _, fronts := range []int{2, 220} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -264,6 +264,18 @@
 // let go by nobody.
 func (c *Core) End() { c.tell(func(now time.Duration, r *decide.Router) { r.End(now) }) }
 
+// Learned tells what the module has learned so far.
+func (c *Core) Learned() (l decide.Learned) {
+	c.tell(func(_ time.Duration, r *decide.Router) { l = r.Learned() })
+	return l
+}
+
+// Learn gives the module what the process before this one had learned.
+func (c *Core) Learn(l decide.Learned) (err error) {
+	c.tell(func(now time.Duration, r *decide.Router) { err = r.Learn(now, l) })
+	return err
+}
+
 // Wait returns when all that requests have left to do is done, or ctx ends.
 func (c *Core) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 const (
 	callTime = 2 * time.Second        // a call has come and gone after this
 	lookTime = 100 * time.Millisecond // the other process's news is looked for so often
+	keepTime = time.Second            // what is known is kept so often
 	maxWho   = 256                    // bytes of a worker's id
 )
 
@@ -68,15 +69,22 @@
 	return d.Share.Socket(d.state.Serving), d.state.Serving > d.mine
 }
 
-// Watch follows what the other process is told, until ctx ends.
-func (d *Desk) Watch(ctx context.Context) {
+// Watch follows what the other process is told, and keeps what this one knows for the next, until ctx ends.
+func (d *Desk) Watch(ctx context.Context, known func() any) {
+	kept := time.Now()
 	for t := time.NewTicker(lookTime); ; {
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return
 		case <-t.C:
-			d.look()
+		}
+		if _, newer := d.Successor(); newer || time.Since(kept) < keepTime {
+			continue
+		}
+		kept = time.Now()
+		if err := d.Share.Keep(known()); err != nil {
+			d.Log.Error("nothing is kept for an upgrade", "err", err)
 		}
 	}
 }
--- a/internal/operator/share.go
+++ b/internal/operator/share.go
@@ -93,8 +93,7 @@
 	return st, nil
 }
 
-// Update changes the file. A reader finds the old text or the new one, never a part. What can't be
-// read is replaced: it would never get better.
+// Update changes the file. What can't be read is replaced: it would never get better.
 func (s *Share) Update(change func(*State)) (State, error) {
 	if s.path == "" {
 		st := State{}
@@ -113,12 +112,40 @@
 	change(&st)
 	slices.Sort(st.Banned)
 	st.Banned = slices.Compact(st.Banned)
-	text, err := json.Marshal(st)
+	return st, replace(s.path, st)
+}
+
+// replace writes v to path such that a reader finds the old text or the new one, never a part.
+func replace(path string, v any) error {
+	text, err := json.Marshal(v)
+	if err == nil {
+		err = os.WriteFile(path+".new", text, 0o600)
+	}
 	if err == nil {
-		err = os.WriteFile(s.path+".new", text, 0o600)
+		err = os.Rename(path+".new", path)
+	}
+	return err
+}
+
+// Keep writes down what this process knows for the next one.
+func (s *Share) Keep(v any) error {
+	if s.path == "" {
+		return nil
+	}
+	return replace(s.path+".learned", v)
+}
+
+// Kept reads what an older process knew; it says no where there is nothing.
+func (s *Share) Kept(v any) (bool, error) {
+	if s.path == "" {
+		return false, nil
+	}
+	text, err := os.ReadFile(s.path + ".learned")
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
 	}
 	if err == nil {
-		err = os.Rename(s.path+".new", s.path)
+		err = json.Unmarshal(text, v)
 	}
-	return st, err
+	return err == nil, err
 }
