Writers whose streams come too slowly are passed over

The relay counts the text of the events as they pass (paceScan) and tells the module once a second; ready leaves out writers slower than 0.85 of the wanted pace, then tries them with one answer at a time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	silenceWait = 5.0                    // ... this many usual waits of its kind without any sign
 	silenceRead = 2.0                    // ... and this many times what the prompt's new tokens take to read
 	tokenLeast  = 1000                   // reads of fewer new tokens count as such of these many
+	paceAim     = 0.85                   // answers slower than this share of the wanted pace are slow
 	badShare    = 0.3                    // share of failed attempts at which a server is suspect ...
 	badLeast    = 1.5                    // ... once so many failed lately
 	waitWeight  = 0.25                   // weight of the latest wait in a running mean
@@ -543,7 +544,7 @@
 		return s.role == role && s.State == Ready && !slices.Contains(p.failed, s) &&
 			!s.isFull(p.party(), r.now) && r.mayRepeat(p, s) && r.mayWarm(s)
 	})
-	well := filter(fit, r.trusted)
+	well := filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(p, s) })
 	if 2*len(well) < len(fit) {
 		return fit
 	}
@@ -557,6 +558,22 @@
 	return !s.suspect || r.now >= s.rest.till && s.out == 0
 }
 
+// slow says that answers lately came from s too slowly for p to be worth its whole. Guards against servers
+// that begin answers in time and then stream them slowly, ill or only full: they are left to what they have,
+// then get one answer at a time until that comes faster. It could hurt where all are a little slow.
+func (r *Router) slow(p *request, s *server) bool {
+	late := s.pace.value > paceAim*p.class.TokenAim.Seconds() && p.class.TokenAim > 0
+	return late && (s.tokens > 0 || r.now-s.pace.at < restMin)
+}
+
+// Paced takes how fast a server's answer came lately.
+func (r *Router) Paced(now time.Duration, e Paced) {
+	r.now = now
+	if s := r.servers[e.Server]; s != nil {
+		s.pace.add(e.Took.Seconds()/float64(max(1, e.Tokens)), now)
+	}
+}
+
 // well books an attempt that s took after a wait of so many seconds.
 func (r *Router) well(s *server, wait float64) {
 	s.sign = r.now
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -649,6 +649,49 @@
 	}
 }
 
+// A writer that begins its answers in time but streams them slowly must be passed over, and tried again with
+// one answer at a time.
+func TestSlowStreamsArePassedOver(t *testing.T) {
+	r, f := start(t, settings(), fleet())
+	paced := func(now time.Duration, each time.Duration) {
+		for _, s := range r.listed {
+			if s.role == Writer && s.ID != "w00" {
+				r.Paced(now, Paced{Server: s.ID, Tokens: 40, Took: 40 * 25 * ms})
+			}
+		}
+		r.Paced(now, Paced{Server: "w00", Tokens: 40, Took: 40 * each})
+	}
+	paced(0, 120*ms)
+	id := RequestID(1)
+	run := func(now time.Duration, n int) (got int) {
+		for range n {
+			f.sends = nil
+			q := ask(id)
+			q.Prefix = uint64(id)
+			r.Request(now, q)
+			r.Outcome(now, Outcome{ID: id, Server: f.last(), Status: Read})
+			if f.last() == "w00" {
+				got++
+			}
+			r.Started(now, Started{ID: id, Attempt: 1, Server: f.last(), Took: 50 * ms})
+			id++
+		}
+		return got
+	}
+	if n := run(100*ms, 40); n != 0 {
+		t.Errorf("a slow writer got %d of 40", n)
+	}
+	if n := run(5*time.Second, 40); n != 1 {
+		t.Errorf("tried again %d times at once, want 1", n)
+	}
+	for range 12 {
+		paced(6*time.Second, 25*ms)
+	}
+	if n := run(6*time.Second, 60); n < 5 {
+		t.Errorf("a writer that is quick again got %d of 60", n)
+	}
+}
+
 // Many fronts that each see little must not push a cold server over together.
 func TestColdSumOverFronts(t *testing.T) {
 	for _, fronts := range []int{2, 220} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,6 +72,7 @@
 	good     rate          // attempts that went well
 	bad      rate          // attempts that failed or met silence
 	wait     mean          // time to the end of a read or to the first token
+	pace     mean          // time for a token of its answers
 	sign     time.Duration // last sign of life
 	out      int           // own in-flight: attempts without an outcome or a first token
 	suspect  bool
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -456,3 +456,53 @@
 	}
 	return false, nil
 }
+
+// paceScan counts the text of a stream's events: the strings named content.
+type paceScan struct {
+	at    int  // so much of contentMark has come, or all of it: inside the string
+	slash bool // the byte before was a backslash
+	bytes int
+	since time.Time // counted from here
+}
+
+const (
+	contentMark = `"content":"`
+	tokenBytes  = 4
+	paceEvery   = time.Second
+)
+
+// feed takes the next bytes. About once in paceEvery it tells how many tokens came and in what time.
+func (s *paceScan) feed(p []byte) (tokens int, took time.Duration) {
+	for _, b := range p {
+		switch {
+		case s.at < len(contentMark):
+			if b == ' ' && s.at >= len(contentMark)-2 { // round the colon
+				continue
+			}
+			if b != contentMark[s.at] {
+				s.at = 0
+			}
+			if b == contentMark[s.at] {
+				s.at++
+			}
+		case s.slash:
+			s.slash = false
+			s.bytes++
+		case b == '"':
+			s.at = 0
+		default:
+			s.slash = b == '\\'
+			s.bytes++
+		}
+	}
+	now := time.Now()
+	if s.since.IsZero() { // what came first took its time before
+		s.since, s.bytes = now, 0
+	}
+	if took = now.Sub(s.since); took < paceEvery || s.bytes < tokenBytes {
+		return 0, 0
+	}
+	tokens = s.bytes / tokenBytes
+	s.since, s.bytes = now, 0
+	return tokens, took
+}
