Writers are judged by how long answers take against their hints, not by their text

What differs is the time of a whole answer against its hint: 2.0 to 2.7 at the ill writer from the first second to the fifteenth, 0.3 to 0.5 at its peers. The module sees both (Started, Outcome): state.go, streams; decide.go, slow and hints. An answer that still runs counts with its time so far, so that a slow one shows early.

--- a/decide/api.go
+++ b/decide/api.go
@@ -173,13 +173,6 @@
 	Tokens float64 // prompt tokens that wait to be read or fetched
 }
 
-// Paced tells how fast a running answer came lately.
-type Paced struct {
-	Server string
-	Tokens int
-	Took   time.Duration
-}
-
 // ServerState is what the server list says of a server.
 type ServerState int
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,9 @@
 	silenceWait = 5.0                    // ... this many usual waits of its kind without any sign
 	silenceRead = 2.0                    // ... and this many times what the prompt's new tokens take to read
 	tokenLeast  = 1000                   // reads of fewer new tokens count as such of these many
-	paceAim     = 0.85                   // answers slower than this share of the wanted pace are slow
+	slowSpan    = 10 * time.Second       // how fast the length of answers is forgotten
+	slowTimes   = 2.5                    // a server is slow where they take so many times the mean, ...
+	slowDoubt   = 2.0                    // ... after so many answers at the mean
 	badShare    = 0.3                    // share of failed attempts at which a server is suspect ...
 	badLeast    = 1.5                    // ... once so many failed lately
 	waitWeight  = 0.25                   // weight of the latest wait in a running mean
@@ -148,9 +150,10 @@
 	}
 	if s.Since != e.Since || s.ID == "" { // a new process: what we knew of the old one is void
 		*s = server{prefixes: newPrefixes(), out: s.out, tokens: s.tokens, sends: s.sends,
-			asked: s.asked}
+			asked: s.asked, streams: s.streams}
 		s.sends.span = r.set.ColdWindow // the rule's own window, so that no burst spends it
 		s.asked.span, s.good.span, s.bad.span = usualSpan, rateSpan, rateSpan
+		s.streams.spent.span, s.streams.done.span = slowSpan, slowSpan
 		for i := range len(e.ID) {
 			s.hash = mix(s.hash*31 + uint64(e.ID[i]))
 		}
@@ -544,7 +547,8 @@
 		return s.role == role && s.State == Ready && !slices.Contains(p.failed, s) &&
 			!s.isFull(p.party(), r.now) && r.mayRepeat(p, s) && r.mayWarm(s)
 	})
-	well := filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(p, s) })
+	each := r.hints(role)
+	well := filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(s, each) })
 	if 2*len(well) < len(fit) {
 		return fit
 	}
@@ -558,20 +562,24 @@
 	return !s.suspect || r.now >= s.rest.till && s.out == 0
 }
 
-// slow says that answers lately came from s too slowly for p to be worth its whole. Guards against servers
-// that begin answers in time and then stream them slowly, ill or only full: they are left to what they have,
-// then get one answer at a time until that comes faster. It could hurt where all are a little slow.
-func (r *Router) slow(p *request, s *server) bool {
-	late := s.pace.value > paceAim*p.class.TokenAim.Seconds() && p.class.TokenAim > 0
-	return late && (s.tokens > 0 || r.now-s.pace.at < restMin)
+// slow says that answers at s take far longer against their hints than the mean of its role. Guards against
+// servers that begin in time but then stream slowly: they are left to what they have, then get one answer at
+// a time. It could hurt where a few answers are longer than hinted, until they are forgotten.
+func (r *Router) slow(s *server, mean float64) bool {
+	spent, done := s.streams.sum(r.now)
+	return (spent+slowDoubt*mean)/(done+slowDoubt) > slowTimes*mean && mean > 0 && s.tokens > 0
 }
 
-// Paced takes how fast a server's answer came lately.
-func (r *Router) Paced(now time.Duration, e Paced) {
-	r.now = now
-	if s := r.servers[e.Server]; s != nil {
-		s.pace.add(e.Took.Seconds()/float64(max(1, e.Tokens)), now)
+// hints is the mean number of hints that an answer takes at the ready servers of a role.
+func (r *Router) hints(role Role) float64 {
+	var spent, done float64
+	for _, s := range r.listed {
+		if s.role == role && s.State == Ready {
+			a, b := s.streams.sum(r.now)
+			spent, done = spent+a, done+b
+		}
 	}
+	return spent / max(done, 1)
 }
 
 // well books an attempt that s took after a wait of so many seconds.
@@ -727,7 +735,10 @@
 	p.answered = true
 	if e.Attempt >= 0 && e.Attempt < len(p.sent) && !p.sent[e.Attempt].begun {
 		a := &p.sent[e.Attempt]
-		a.begun = true
+		a.begun, a.first = true, now
+		if p.Hint > 0 {
+			a.server.streams.begin(now, p.Hint)
+		}
 		a.server.out--
 		r.kinds[a.server.Kind].out--
 		wait := e.Took.Seconds()
@@ -797,6 +808,8 @@
 	if !a.begun {
 		s.out--
 		r.kinds[s.Kind].out--
+	} else if p.Hint > 0 {
+		s.streams.end(a.first, p.Hint, r.now)
 	}
 	switch o.Status {
 	case Read:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -649,46 +649,55 @@
 	}
 }
 
-// A writer that begins its answers in time but streams them slowly must be passed over, and tried again with
-// one answer at a time.
+// A writer that begins its answers in time but takes several times as long for them as its peers must be
+// passed over, and tried again with one answer at a time.
 func TestSlowStreamsArePassedOver(t *testing.T) {
 	r, f := start(t, settings(), fleet())
-	paced := func(now time.Duration, each time.Duration) {
-		for _, s := range r.listed {
-			if s.role == Writer && s.ID != "w00" {
-				r.Paced(now, Paced{Server: s.ID, Tokens: 40, Took: 40 * 25 * ms})
-			}
-		}
-		r.Paced(now, Paced{Server: "w00", Tokens: 40, Took: 40 * each})
-	}
-	paced(0, 120*ms)
 	id := RequestID(1)
-	run := func(now time.Duration, n int) (got int) {
-		for range n {
+	type answer struct {
+		id   RequestID
+		at   string
+		ends time.Duration
+	}
+	var open []answer
+	now := time.Duration(0)
+	run := func(till, slow time.Duration) map[string]int {
+		got := map[string]int{}
+		for ; now < till; now += 50 * ms {
 			f.sends = nil
 			q := ask(id)
-			q.Prefix = uint64(id)
+			q.Prefix, q.Hint, q.Prompt = uint64(id), 4*time.Second, 100
 			r.Request(now, q)
 			r.Outcome(now, Outcome{ID: id, Server: f.last(), Status: Read})
-			if f.last() == "w00" {
-				got++
+			took := 2 * time.Second
+			if got[f.last()]++; f.last() == "w00" {
+				took = slow
 			}
 			r.Started(now, Started{ID: id, Attempt: 1, Server: f.last(), Took: 50 * ms})
+			open = append(open, answer{id, f.last(), now + took})
 			id++
+			open = slices.DeleteFunc(open, func(a answer) bool {
+				if a.ends <= now {
+					r.Outcome(now, Outcome{ID: a.id, Attempt: 1, Server: a.at, Status: Served, Took: took, Final: true})
+				}
+				return a.ends <= now
+			})
 		}
 		return got
 	}
-	if n := run(100*ms, 40); n != 0 {
-		t.Errorf("a slow writer got %d of 40", n)
+	run(5*time.Second, 12*time.Second)
+	if got := run(12*time.Second, 12*time.Second); got["w00"] > 2 || got["w01"] == 0 {
+		t.Errorf("a slow writer goes on: %v", got)
 	}
-	if n := run(5*time.Second, 40); n != 1 {
-		t.Errorf("tried again %d times at once, want 1", n)
+	run(40*time.Second, 2*time.Second)
+	if got := run(50*time.Second, 2*time.Second); got["w00"] < got["w01"]/2 {
+		t.Errorf("a writer that is quick again is left out: %v", got)
 	}
-	for range 12 {
-		paced(6*time.Second, 25*ms)
+	for id := range r.open {
+		r.Outcome(now, Outcome{ID: id, Attempt: 1, Server: r.open[id].sent[1].server.ID, Status: Reset, Final: true})
 	}
-	if n := run(6*time.Second, 60); n < 5 {
-		t.Errorf("a writer that is quick again got %d of 60", n)
+	if s := r.servers["w01"]; math.Abs(s.streams.each) > 1e-6 {
+		t.Errorf("%v streams left after the last", s.streams.each)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,7 +72,7 @@
 	good     rate          // attempts that went well
 	bad      rate          // attempts that failed or met silence
 	wait     mean          // time to the end of a read or to the first token
-	pace     mean          // time for a token of its answers
+	streams  streams       // its answers, against their hints
 	sign     time.Duration // last sign of life
 	out      int           // own in-flight: attempts without an outcome or a first token
 	suspect  bool
@@ -119,6 +119,30 @@
 	return (n*m.value + peers.value) / (n + 1)
 }
 
+// streams is how long answers take in hints of their length: an answer that runs counts with its time so far.
+type streams struct {
+	spent, done rate    // hints that ended answers took, and how many ended
+	each, since float64 // of those that run: the sum of 1/hint, and of their beginnings in hints
+}
+
+// begin and end book an answer of the given hint that began at a time.
+func (t *streams) begin(at, hint time.Duration) {
+	t.each += 1 / hint.Seconds()
+	t.since += at.Seconds() / hint.Seconds()
+}
+
+func (t *streams) end(at, hint, now time.Duration) {
+	t.each -= 1 / hint.Seconds()
+	t.since -= at.Seconds() / hint.Seconds()
+	t.spent.add(now, (now-at).Seconds()/hint.Seconds())
+	t.done.add(now, 1)
+}
+
+// sum is the hints that have been spent, and the answers that have ended.
+func (t *streams) sum(now time.Duration) (spent, done float64) {
+	return t.spent.value(now) + max(0, t.each*now.Seconds()-t.since), t.done.value(now)
+}
+
 // rate counts events, older ones for less.
 type rate struct {
 	count float64
@@ -158,6 +182,7 @@
 	read   bool
 	out    bool
 	begun  bool          // its answer streams
+	first  time.Duration // since then
 	match  int           // prompt tokens that the record held for it ...
 	since  time.Duration // ... from a send at this time
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,8 +82,6 @@
 	Worker     Worker        // Streaming: who streams
 	// Ended tells how the stream ended; the front calls it once. Streaming only.
 	Ended func(decide.Status)
-	// Paced tells that so many tokens came within a time, now and then while it streams. Streaming only.
-	Paced func(tokens int, took time.Duration)
 }
 
 // Core is the router without its wires.
@@ -546,10 +544,6 @@
 	var once sync.Once
 	l.answer <- Answer{Verdict: Streaming, Stream: e.Stream, Worker: a.To, Ended: func(s decide.Status) {
 		once.Do(func() { a.cancel(errCancelled); l.streamEnd <- s })
-	}, Paced: func(tokens int, took time.Duration) {
-		c.tell(func(now time.Duration, r *decide.Router) {
-			r.Paced(now, decide.Paced{Server: a.To.ID, Tokens: tokens, Took: took})
-		})
 	}}
 	l.log(Streaming, a.To.ID)
 	l.callOffAll()
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -518,7 +518,7 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over, heirs: &t.f.heirs, log: t.f.log, paced: a.Paced}
+		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over, heirs: &t.f.heirs, log: t.f.log}
 		if c, ok := out.Context().Value(connKey{}).(*clientConn); ok && out.ProtoAtLeast(1, 1) {
 			res.Body.(*relay).conn = c
 		}
@@ -547,8 +547,6 @@
 	conn   *clientConn // nil where the answer has no chunks
 	given  bool        // Read ends with errHanded next
 	log    *slog.Logger
-	pace   paceScan
-	paced  func(tokens int, took time.Duration)
 }
 
 func (r *relay) Read(p []byte) (int, error) {
@@ -564,9 +562,6 @@
 			r.ended(decide.Served) // as far as this process goes
 		}
 	}
-	if tokens, took := r.pace.feed(p[:n]); tokens > 0 {
-		r.paced(tokens, took)
-	}
 	if r.keep == nil && n > 0 {
 		r.keep = context.AfterFunc(r.over, func() {
 			if s, ok := r.Stream.(*stream); ok && r.conn != nil && r.heirs.get() != "" && s.handOver() {
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -489,21 +489,3 @@
 		}
 	})
 }
-
-// The pace of a stream is that of its text, however its events are cut.
-func TestPaceIsThatOfTheText(t *testing.T) {
-	event := `data: {"choices":[{"index":0,"delta":{"content" : "ab\"defgh"},"finish_reason":null}]}` + "\n\n"
-	s := paceScan{}
-	s.feed([]byte(event))
-	s.since = s.since.Add(-2 * paceEvery)
-	for i := range len(event) - 1 {
-		if tokens, _ := s.feed([]byte(event[i : i+1])); tokens > 0 && s.bytes != 0 {
-			t.Fatal("told and not begun anew")
-		}
-		s.since = time.Now()
-	}
-	s.since = time.Now().Add(-2 * paceEvery)
-	if tokens, took := s.feed([]byte(event)); tokens != 2*9/tokenBytes || took < 2*paceEvery {
-		t.Errorf("%d tokens in %v", tokens, took)
-	}
-}
