Routers share how often discovery without room is asked

The lists: of 36 watches 14 hold, 22 end with a reset after 2 s, and 3442 answers are 'status 503': up to 165 a second, each router every 0.2 s. After a restart of 25 routers none ever gets a list again. Fault: discovery.go, watch: a fixed pause of 0.2 s. A discovery that is only away or silent is asked again within 2 s as its news counts after some seconds.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -299,6 +299,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	discovery := httpfront.NewDiscovery(names, c, int(lineShare*memory), log)
+	discovery.Fronts = site.Fronts
 	defer discovery.Close()
 	discovery.Follow(cfg.Discovery, cfg.Known.Seq)
 	go func() {
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -13,11 +13,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"rowanyard/decide"
@@ -26,7 +28,11 @@
 
 const (
 	pathList      = "/registry/instances"
-	watchAgain    = 200 * time.Millisecond // a watch that ended is asked for again after this
+	watchAgain    = 200 * time.Millisecond // a watch that ended is asked for again after up to this, doubled ...
+	watchSeldom   = 2 * time.Second        // ... for each that failed since one held, up to this
+	watchEach     = 150 * time.Millisecond // where discovery has no room all routers together ask so often ...
+	watchDoubles  = 2                      // ... or more seldom, after so many doublings at most
+	watchAdvice   = 15 * time.Second       // discovery's own advice is followed up to this
 	watchSilent   = 6 * time.Second        // an empty line comes every 2 s
 	listWait      = time.Second            // the whole list comes at once or not at all
 	watchLine     = 4 << 20
@@ -98,6 +104,8 @@
 	Core  *core.Core
 	Log   *slog.Logger
 	Line  int // the longest line that is read, 0 = watchLine
+	// Fronts is how many routers share discovery. Set before Follow.
+	Fronts int
 
 	mu   sync.Mutex
 	addr string
@@ -147,18 +155,51 @@
 func (d *Discovery) watch(ctx context.Context, addr string, after int64) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: (&net.Dialer{Timeout: discoveryDial}).DialContext}}
-	for ctx.Err() == nil {
-		err := d.watchOnce(ctx, client, addr, &after)
-		if ctx.Err() == nil {
-			d.Log.Warn("watch ended", "addr", addr, "seq", after, "err", err)
-		}
+	turn := max(watchAgain, watchEach*time.Duration(d.Fronts))
+	pause := rand.N(turn / 2) // guards against routers that all start at once
+	for failed := 0; ; {
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchAgain):
+			return
+		case <-time.After(pause):
+		}
+		begun := time.Now()
+		err := d.watchOnce(ctx, client, addr, &after)
+		if time.Since(begun) > watchSilent { // it has held for a while
+			failed = 0
+		}
+		pause = pauseAfter(err, failed, turn)
+		failed++
+		if ctx.Err() == nil {
+			d.Log.Warn("watch ended", "addr", addr, "seq", after, "again_ms", pause.Milliseconds(), "err", err)
 		}
 	}
 }
 
+// notNow is an answer of discovery other than 200, with its advice on when to ask again, 0 = none.
+type notNow struct {
+	status int
+	after  time.Duration
+}
+
+func (e notNow) Error() string { return fmt.Sprintf("status %d", e.status) }
+
+// pauseAfter is how long to wait after so many failures before this one. turn is the time in which each of
+// all routers may ask once. Guards discovery against routers that all ask again at once, and again: where it
+// has no room it must get less to do, not more, or it never catches up.
+func pauseAfter(err error, failed int, turn time.Duration) time.Duration {
+	var busy notNow
+	switch {
+	case errors.As(err, &busy) && busy.after > 0:
+		return min(busy.after, watchAdvice) + rand.N(turn)
+	case errors.As(err, &busy), errors.Is(err, syscall.ECONNRESET):
+		turn <<= min(failed, watchDoubles)
+		return turn/2 + rand.N(turn)
+	}
+	most := min(watchAgain<<min(failed, 10), watchSeldom)
+	return most/2 + rand.N(most/2)
+}
+
 // watchOnce follows one watch to its end.
 func (d *Discovery) watchOnce(ctx context.Context, client *http.Client, addr string, after *int64) error {
 	ctx, stop := context.WithCancelCause(ctx)
@@ -191,7 +232,11 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode)
+		after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		if !(after >= 0 && after < 1e6) {
+			after = 0
+		}
+		return notNow{res.StatusCode, time.Duration(after * float64(time.Second))}
 	}
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(make([]byte, 0, 4<<10), cmp.Or(d.Line, watchLine))
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -345,3 +345,31 @@
 		}
 	})
 }
+
+// Discovery that has no room must get less to do, from all routers together and each at its own time, and be
+// asked when it says; else many routers that lost it at once keep it down for good. One that is only away is
+// asked again soon: its news counts as told after some seconds.
+func TestDiscoveryWithoutRoomIsLeftAlone(t *testing.T) {
+	const turn = 36 * watchEach
+	busy := fmt.Errorf("watch: %w", notNow{503, 0})
+	for failed := range 40 {
+		seen, sum := map[time.Duration]bool{}, time.Duration(0)
+		for range 200 {
+			w := pauseAfter(busy, failed, turn)
+			seen[w] = true
+			sum += w
+		}
+		if want := turn << min(failed, watchDoubles); len(seen) < 100 || sum/200 < want*8/10 || sum/200 > want*12/10 {
+			t.Errorf("after %d failures %v on average at %d times, want %v", failed, sum/200, len(seen), want)
+		}
+		if w := pauseAfter(io.ErrUnexpectedEOF, failed, turn); w > watchSeldom || failed == 0 && w > watchAgain {
+			t.Errorf("away for %d tries: asked again after %v", failed, w)
+		}
+	}
+	if w := pauseAfter(notNow{503, 3 * time.Second}, 0, time.Second); w < 3*time.Second || w > 4*time.Second {
+		t.Errorf("told to come back in 3 s: %v", w)
+	}
+	if w := pauseAfter(notNow{503, time.Hour}, 0, time.Second); w > watchAdvice+time.Second {
+		t.Errorf("told to come back in an hour: %v", w)
+	}
+}
