--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -489,3 +490,50 @@
 		}
 	})
 }
+
+// Wherever a stream is cut between two reads, what goes on in the next process must be the same text, and
+// nothing that can't be trusted may be taken over.
+func FuzzHandedStreams(f *testing.F) {
+	stream := "5\r\ndata:\r\n1c;x=1\r\n {\"choices\":[{\"delta\":{}}]}\n\r\n1\r\n\n\r\n0\r\n\r\n"
+	for cut := range len(stream) {
+		f.Add(cut, []byte(`{}`))
+	}
+	f.Add(3, []byte(`{"chunk":99}`))
+	f.Add(3, []byte(`{"chunk":3,"left":-1}`))
+	f.Add(3, []byte(`{"chunk":3,"left":300000000,"line":"YQ=="}`))
+	f.Fuzz(func(t *testing.T, cut int, told []byte) {
+		var at handed
+		if json.Unmarshal(told, &at) == nil {
+			if c, e, err := at.scans(); err == nil {
+				_, _, _ = c.feed([]byte(stream))
+				_, _, _ = e.feed([]byte(stream))
+			}
+		}
+		if cut < 0 || cut > len(stream) {
+			return
+		}
+		text := func(chunk chunkScan, events eventScan, p string) (string, chunkScan, eventScan, bool) {
+			var out []byte
+			chunk.keep = func(p []byte) { out = append(out, p...) }
+			_, end, err := chunk.feed([]byte(p))
+			_, _, odd := events.feed(out)
+			if err != nil || odd != nil {
+				t.Fatal(err, odd)
+			}
+			return string(out), chunk, events, end
+		}
+		first, chunk, events, _ := text(chunkScan{}, eventScan{}, stream[:cut])
+		over, _ := json.Marshal(handedOf(chunk, events))
+		if err := json.Unmarshal(over, &at); err != nil {
+			t.Fatal(err)
+		}
+		chunk, events, err := at.scans()
+		if err != nil {
+			t.Fatal(err)
+		}
+		rest, _, _, end := text(chunk, events, stream[cut:])
+		if first+rest != "data: {\"choices\":[{\"delta\":{}}]}\n\n" || !end && cut < len(stream) {
+			t.Errorf("cut at %d: %q and %q, end %v", cut, first, rest, end)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,98 @@
+package operator
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"testing"
+)
+
+// fleet is a Router that knows some workers.
+type fleet struct {
+	listed []string
+	out    []string
+}
+
+func (f *fleet) Known(id string) bool   { return slices.Contains(f.listed, id) }
+func (f *fleet) SetBanned(ids []string) { f.out = slices.Clone(ids) }
+
+func open(t *testing.T, dir string) *Share {
+	t.Helper()
+	s, err := Open(dir, "n/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func desk(s *Share, f *fleet) *Desk {
+	return &Desk{Share: s, Router: f, Standby: func(bool) {}, Serving: func() bool { return true }, Log: slog.New(slog.DiscardHandler)}
+}
+
+func call(d *Desk, method, path string) int {
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+	return w.Code
+}
+
+// What one process is told the other must know: calls reach whichever of two is asked.
+func TestTwoProcessesShareWhatOperatorsAsk(t *testing.T) {
+	dir := t.TempDir()
+	a, b := open(t, dir), open(t, dir)
+	if !a.Alone() || b.Alone() {
+		t.Fatal("which process came first is not seen")
+	}
+	fa, fb := &fleet{listed: []string{"w1", "w2"}}, &fleet{listed: []string{"w2"}}
+	old, next := desk(a, fa), desk(b, fb)
+	old.Begin()
+	old.Serves()
+	next.Begin()
+	for path, want := range map[string]int{"/maintenance/enter?who=w1": 200, "/maintenance/enter?who=w1&who=w2": 400,
+		"/maintenance/enter?who=no": 404, "/other": 404} {
+		if got := call(old, http.MethodPost, path); got != want {
+			t.Errorf("%s: %d, want %d", path, got, want)
+		}
+	}
+	if _, newer := old.Successor(); newer {
+		t.Error("succeeded by a process that does not serve")
+	}
+	next.Serves()
+	if at, newer := old.Successor(); !newer || at != next.Socket() {
+		t.Errorf("successor %q %v, want %q", at, newer, next.Socket())
+	}
+	next.look()
+	if !slices.Equal(fb.out, []string{"w1"}) {
+		t.Errorf("the next process has out %v", fb.out)
+	}
+	// A worker that is out may be called back where it is not listed any more.
+	if got := call(next, http.MethodPost, "/maintenance/exit?who=w1"); got != 200 || len(fb.out) != 0 {
+		t.Errorf("back: %d, out %v", got, fb.out)
+	}
+	old.look()
+	if len(fa.out) != 0 {
+		t.Errorf("the old process still has out %v", fa.out)
+	}
+	a.alive.Close()
+	if !b.Alone() {
+		t.Error("the next process does not see that it is alone")
+	}
+}
+
+// A file that can't be read or written must not stop what is asked of this process.
+func TestCallsHoldWithoutTheFile(t *testing.T) {
+	dir := t.TempDir()
+	s, f := open(t, dir), &fleet{listed: []string{"w1"}}
+	os.WriteFile(s.path, []byte("{"), 0o600)
+	d := desk(s, f)
+	d.Begin()
+	os.RemoveAll(dir)
+	if got := call(d, http.MethodPost, "/maintenance/enter?who=w1"); got != 200 || !slices.Equal(f.out, []string{"w1"}) {
+		t.Errorf("%d, out %v", got, f.out)
+	}
+	d.look()
+	if none, err := Open("", "x"); err != nil || !none.Alone() {
+		t.Error("nothing to share")
+	}
+}
