--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -635,14 +635,14 @@
 	old.now = now
 	old.kinds[0].took.add(now, 5*usualSpan.Seconds())
 	r, _ := start(t, set, fleet())
-	if err := r.Learn(now, old.Learned()); err != nil {
+	if err := r.Learn(now, old.Learned(now)); err != nil {
 		t.Fatal(err)
 	}
 	r.Servers(now, ServerList{Servers: []Server{{ID: "new", Kind: 3, Since: now}}})
 	if a, b := r.usual(0), r.usual(3); a < 4.9 || a > 5.1 || b < 3 || b > a {
 		t.Errorf("usual %.2f of the warm kind, %.2f of the cold one", a, b)
 	}
-	bad := old.Learned()
+	bad := old.Learned(now)
 	bad.Near[0] = math.NaN()
 	if r.Learn(now, bad) == nil || r.Learn(now, Learned{}) == nil || r.usual(0) < 4.9 {
 		t.Error("took what makes no sense")
@@ -689,6 +689,15 @@
 	if got := run(12*time.Second, 12*time.Second); got["w00"] > 2 || got["w01"] == 0 {
 		t.Errorf("a slow writer goes on: %v", got)
 	}
+	next, _ := start(t, settings(), fleet()) // a process that takes over must not find that out anew
+	if err := next.Learn(now, r.Learned(now)); err != nil {
+		t.Fatal(err)
+	}
+	next.now = now
+	next.servers["w00"].tokens = 1
+	if mean := next.hints(Writer); !next.slow(next.servers["w00"], mean) || next.slow(next.servers["w01"], mean) {
+		t.Error("the next process does not know the slow writer")
+	}
 	run(40*time.Second, 2*time.Second)
 	if got := run(50*time.Second, 2*time.Second); got["w00"] < got["w01"]/2 {
 		t.Errorf("a writer that is quick again is left out: %v", got)
--- a/decide/learned.go
+++ b/decide/learned.go
@@ -18,6 +18,8 @@
 	Near     [3]float64    `json:"near"`
 	Far      [3]float64    `json:"far"`
 	Moves    [3]float64    `json:"moves"`
+	// Answers is how long those of each server took against their hints: hints spent, answers ended, time.
+	Answers map[string][3]float64 `json:"answers"`
 }
 
 // LearnedKind is what is known of the servers of one kind.
@@ -34,12 +36,18 @@
 func (c *rate) learn(v [3]float64) { c.count, c.at = v[0], seconds(v[2]) }
 
 // Learned tells what this Router knows.
-func (r *Router) Learned() Learned {
+func (r *Router) Learned(now time.Duration) Learned {
 	l := Learned{Began: r.began.Seconds(), PerToken: r.perToken,
 		Near: r.near.learned(), Far: r.far.learned(), Moves: r.moves.learned()}
 	for _, k := range r.kinds {
 		l.Kinds = append(l.Kinds, LearnedKind{k.took.learned(), k.asked.learned(), k.wait.learned()})
 	}
+	l.Answers = make(map[string][3]float64)
+	for _, s := range r.listed {
+		if spent, done := s.streams.sum(now); spent > 0 {
+			l.Answers[s.ID] = [3]float64{spent, done, now.Seconds()}
+		}
+	}
 	return l
 }
 
@@ -49,6 +57,9 @@
 	for _, k := range l.Kinds {
 		all = append(all, k.Took, k.Asked, k.Wait)
 	}
+	for _, v := range l.Answers {
+		all = append(all, v)
+	}
 	for _, v := range all {
 		if !(v[0] >= 0 && v[1] >= 0 && v[2] >= 0) || math.IsInf(v[0]+v[1], 1) || v[2] > now.Seconds()+1 {
 			return errors.New("decide: what was learned makes no sense")
@@ -66,5 +77,11 @@
 		r.kinds[i].asked.learn(k.Asked)
 		r.kinds[i].wait.learn(k.Wait)
 	}
+	for id, v := range l.Answers {
+		if s := r.servers[id]; s != nil {
+			s.streams.spent.learn([3]float64{v[0], 0, v[2]})
+			s.streams.done.learn([3]float64{v[1], 0, v[2]})
+		}
+	}
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -266,7 +266,7 @@
 
 // Learned tells what the module has learned so far.
 func (c *Core) Learned() (l decide.Learned) {
-	c.tell(func(_ time.Duration, r *decide.Router) { l = r.Learned() })
+	c.tell(func(now time.Duration, r *decide.Router) { l = r.Learned(now) })
 	return l
 }
 
