--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,6 +53,9 @@
 		st.Started++
 	})
 	d.mine = d.state.Started
+	if err := d.Share.Join(d.mine); err != nil {
+		d.Log.Error("another process can't see that this one runs", "err", err)
+	}
 }
 
 // Serves tells an older process that this one has begun to serve.
@@ -61,12 +64,14 @@
 // Socket is where this process takes the streams of an older one.
 func (d *Desk) Socket() string { return d.Share.Socket(d.mine) }
 
-// Successor says whether a newer process serves in this one's place, and where it takes streams.
+// Successor says whether a newer process serves in this one's place, and where it takes streams. One that has
+// served and died is none.
 func (d *Desk) Successor() (string, bool) {
 	d.look()
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Share.Socket(d.state.Serving), d.state.Serving > d.mine
+	serving := d.state.Serving
+	d.mu.Unlock()
+	return d.Share.Socket(serving), serving > d.mine && d.Share.Runs(serving)
 }
 
 // Watch follows what the other process is told, and keeps what this one knows for the next, until ctx ends.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -74,6 +74,10 @@
 	if len(fa.out) != 0 {
 		t.Errorf("the old process still has out %v", fa.out)
 	}
+	b.mine.Close() // the next process dies: the old one must not leave its address to nobody
+	if _, newer := old.Successor(); newer {
+		t.Error("succeeded by a process that has died")
+	}
 	a.alive.Close()
 	if !b.Alone() {
 		t.Error("the next process does not see that it is alone")
--- a/internal/operator/share.go
+++ b/internal/operator/share.go
@@ -30,6 +30,7 @@
 	alive *os.File // locked for as long as the process that has it runs
 	mu    sync.Mutex
 	alone bool
+	mine  *os.File // locked too, and named by this process's number
 }
 
 // Open joins the router's other processes in dir; "" shares nothing.
@@ -74,6 +75,35 @@
 	return s.alone
 }
 
+// Join marks the process with this number as running.
+func (s *Share) Join(number int) error {
+	if s.path == "" {
+		return nil
+	}
+	_ = os.Remove(s.lockOf(number - 2)) // long gone
+	file, err := os.OpenFile(s.lockOf(number), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	s.mine = file
+	return syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+}
+
+// Runs says whether the process with this number, not this one, still runs.
+func (s *Share) Runs(number int) bool {
+	if s.path == "" {
+		return false
+	}
+	file, err := os.Open(s.lockOf(number))
+	if err != nil {
+		return false
+	}
+	defer file.Close()
+	return syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) != nil
+}
+
+func (s *Share) lockOf(number int) string { return fmt.Sprintf("%s.%d.alive", s.path, number) }
+
 // Load reads the file; one that is not there yet says nothing.
 func (s *Share) Load() (State, error) {
 	var st State
