Attempts that later ones have overtaken are called off

Fault: decide.go, checkSilence: any sign of the server lets every attempt wait on. Ruled out: suspicion (the servers are well), the dial (the connections were idle for 42 ms to 1.9 s and answered before). Now an attempt is called off at its silence where one that was sent half of that later has been answered.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -664,8 +664,9 @@
 	return p.class.Aim + time.Duration(float64(p.class.AimPer1000)*float64(p.Prompt)/1000)
 }
 
-// checkSilence calls off p's attempt where its server gave no sign since; a server that
-// gave one is only busy.
+// checkSilence calls off p's attempt where its server gave no sign since; a server that gave one is only
+// busy, unless what was sent there long after it has been answered. Guards against connections that fall
+// silent to a server that is well; it could hurt where servers answer in another order.
 func (r *Router) checkSilence(p *request) {
 	n := len(p.sent) - 1
 	a := &p.sent[n]
@@ -673,7 +674,8 @@
 		return
 	}
 	mustWait := !r.set.CanCancel || !a.read && p.class.Effect == Unsafe
-	if a.server.sign >= a.at || mustWait {
+	overtaken := a.server.passed > a.at+r.silence(p, a.server)/2
+	if a.server.sign >= a.at && !overtaken || mustWait {
 		p.checkAt = r.now + r.silence(p, a.server)
 		r.out.SetTimer(uint64(p.ID), p.checkAt)
 		return
@@ -746,6 +748,7 @@
 			wait -= r.reading(p.Prompt - a.match)
 		}
 		r.well(a.server, wait)
+		a.server.passed = max(a.server.passed, a.at)
 		r.moved(p.holder, a.server, e.Took)
 		delete(a.server.full, p.party())
 	}
@@ -816,6 +819,7 @@
 		r.learnPace(o.Took.Seconds() / float64(max(tokenLeast, p.Prompt-o.Kept)))
 		r.well(s, o.Took.Seconds()-r.reading(p.Prompt-o.Kept))
 		delete(s.full, p.party())
+		s.passed = max(s.passed, a.at)
 		s.prefixes.correct(a, o.Kept, r.now)
 	case Served:
 		s.good.add(r.now, 1)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -339,6 +339,27 @@
 	}
 }
 
+// An attempt on a connection that fell silent must not wait for as long as its server answers others.
+func TestAnOvertakenAttemptMovesOn(t *testing.T) {
+	r, f := start(t, settings(), fleet())
+	home, _ := serve(r, f, ask(1), 0)
+	r.Request(time.Second, ask(2))
+	at := slices.Min(f.timers[2])
+	q := ask(3)
+	r.Request(time.Second+10*ms, q) // sent right behind it: nobody has overtaken anybody
+	r.Outcome(at-ms, Outcome{ID: 3, Server: home, Status: Read, Took: 50 * ms})
+	r.Timer(at, 2)
+	if f.has("cancel 2 0") {
+		t.Fatal("called off for one that was sent at the same time")
+	}
+	r.Request(at, ask(4))
+	r.Outcome(at+50*ms, Outcome{ID: 4, Server: home, Status: Read, Took: 50 * ms})
+	r.Timer(slices.Max(f.timers[2][1:]), 2)
+	if !f.has("cancel 2 0") {
+		t.Errorf("waits on though later ones are answered: %v", f.did)
+	}
+}
+
 func TestBusyIsNotSilent(t *testing.T) {
 	r, f := start(t, settings(), fleet())
 	r.Request(0, ask(1))
--- a/decide/state.go
+++ b/decide/state.go
@@ -74,6 +74,7 @@
 	wait     mean          // time to the end of a read or to the first token
 	streams  streams       // its answers, against their hints
 	sign     time.Duration // last sign of life
+	passed   time.Duration // when the latest one was sent of those that went well
 	out      int           // own in-flight: attempts without an outcome or a first token
 	suspect  bool
 	rest     rest
