Streams that fall silent are broken by their own gaps where clients ask for the rest

Fault: workers.go, StallLimit for every stream. Now ten times the longest gap so far, 1.5 to 4 s; where clients don't ask for the rest nothing changes.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -287,6 +287,7 @@
 		files = defaultFiles
 	}
 	workers := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, int(workersShare*float64(files)), log)
+	workers.Resume = site.Resume
 	grpcWorkers := grpcfront.NewWorkers(site.ConnectTimeout, site.ConnIdle)
 	defer grpcWorkers.Close()
 	c, err := core.New(site.Settings, seed, grpcfront.Prober{HTTP: workers, GRPC: grpcWorkers}, log)
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -537,3 +537,38 @@
 		}
 	})
 }
+
+// A stream that has come regularly and then falls silent must be broken before its answer is too slow to be worth
+// anything, but only where its client asks for the rest, and never for a pause like those before.
+func TestASilentStreamIsBrokenByItsOwnGaps(t *testing.T) {
+	for _, c := range []struct {
+		resume    bool
+		gap, want time.Duration
+	}{{true, 0, StallLimit}, {true, 30 * time.Millisecond, stallLeast}, {true, 200 * time.Millisecond, 2 * time.Second},
+		{true, time.Second, StallLimit}, {false, 30 * time.Millisecond, StallLimit}} {
+		if s := (&stream{resume: c.resume, gap: c.gap}); s.patience() != c.want {
+			t.Errorf("resume %v, gap %v: waits %v, want %v", c.resume, c.gap, s.patience(), c.want)
+		}
+	}
+	// The gaps are those between reads that bring something.
+	end := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 2 {
+			io.WriteString(w, "data: {}\n\n")
+			w.(http.Flusher).Flush()
+		}
+		<-end
+	}))
+	defer s.Close()
+	defer close(end)
+	res, err := http.Get(s.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := &stream{res: res, resume: true, last: time.Now().Add(-time.Second), stall: time.AfterFunc(time.Hour, func() { res.Body.Close() })}
+	defer got.Close()
+	got.Read(make([]byte, 64))
+	if got.gap < time.Second {
+		t.Errorf("a gap of a second is taken for %v", got.gap)
+	}
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -26,11 +26,13 @@
 )
 
 const (
-	idleShare   = 0.6             // idle connections close after this share of the workers' limit
-	idlePerHost = 96              // idle connections kept to a worker
-	StallLimit  = 4 * time.Second // a stream without an event for so long is broken
-	answerLimit = 64 << 10        // bytes read of an answer that is no stream
-	sendAgain   = 3               // connections that had ended are passed over so often
+	stallGaps   = 10                      // where clients ask for the rest, a stream is broken after so many times its longest gap ...
+	stallLeast  = 1500 * time.Millisecond // ... but not before this
+	idleShare   = 0.6                     // idle connections close after this share of the workers' limit
+	idlePerHost = 96                      // idle connections kept to a worker
+	StallLimit  = 4 * time.Second         // a stream without an event for so long is broken
+	answerLimit = 64 << 10                // bytes read of an answer that is no stream
+	sendAgain   = 3                       // connections that had ended are passed over so often
 	pathHolds   = "/v1/holds/"
 	pathStats   = "/stats"
 	turnedAway  = "X-Turned-Away"
@@ -40,8 +42,11 @@
 type Workers struct {
 	transport *http.Transport
 	log       *slog.Logger
-	open      atomic.Int64
-	limit     atomic.Int64
+	// Resume says that clients ask for the rest of a stream that broke: one that falls silent is then broken
+	// sooner. Set before use.
+	Resume bool
+	open   atomic.Int64
+	limit  atomic.Int64
 }
 
 // NewWorkers returns a client that holds at most maxConns connections, none of them idle for as
@@ -215,7 +220,7 @@
 // answer turns a worker's answer into a result.
 func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response, conn *workerConn) core.Result {
 	if res.StatusCode == http.StatusOK && !a.Read {
-		s := &stream{res: res, conn: conn}
+		s := &stream{res: res, conn: conn, resume: w.Resume}
 		s.stall = time.AfterFunc(firstEvent, func() { res.Body.Close() })
 		if err := s.open(); err != nil { // it broke, or makes no sense, before its first event was whole
 			s.Close()
@@ -355,6 +360,10 @@
 	first []byte      // read and not passed on
 	scan  eventScan
 	stall *time.Timer
+
+	resume bool
+	last   time.Time     // when something came
+	gap    time.Duration // the longest time in which nothing did
 }
 
 // Header is the head of the worker's answer.
@@ -407,9 +416,15 @@
 		}
 		return n, nil
 	}
-	s.stall.Reset(StallLimit)
+	s.stall.Reset(s.patience())
 	n, err := s.res.Body.Read(p)
 	s.stall.Stop()
+	if now := time.Now(); n > 0 {
+		if !s.last.IsZero() {
+			s.gap = max(s.gap, now.Sub(s.last))
+		}
+		s.last = now
+	}
 	n, _, bad := s.scan.feed(p[:n])
 	if bad != nil {
 		return n, bad
@@ -420,6 +435,15 @@
 	return n, err
 }
 
+// patience is how long the stream may say nothing. Guards against connections that fall silent to a worker that
+// is well: each second until its client asks for the rest makes the whole answer slower.
+func (s *stream) patience() time.Duration {
+	if !s.resume || s.gap == 0 {
+		return StallLimit
+	}
+	return min(max(stallLeast, stallGaps*s.gap), StallLimit)
+}
+
 // handOver has Read end with errHanded at the next byte that has not come.
 func (s *stream) handOver() bool {
 	if s.conn == nil {
