Discovery is asked at once, and never left alone for as long as its news takes to count

No router logged "watch ended": discovery refused nobody, the router had not asked. Ruled out: refusals, resets or silence of discovery (no such line in 309 logs); the check between choice and dial (a drain that had been heard was obeyed). At fault: discovery.go, watch: a first pause at random in half of a turn of 150 ms times the routers (22 s with 300), at every start and SIGHUP; pauseAfter: waits after a refusal grew with the routers without a bound, while news counts as told after 6 s, 4 s after SIGHUP. Now: asked at once; after a refusal or reset a turn doubled up to 5 s at most, 3 s where the whole list is owed.

--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -30,9 +30,9 @@
 	pathList      = "/registry/instances"
 	watchAgain    = 200 * time.Millisecond // a watch that ended is asked for again after up to this, doubled ...
 	watchSeldom   = 2 * time.Second        // ... for each that failed since one held, up to this
-	watchEach     = 150 * time.Millisecond // where discovery has no room all routers together ask so often ...
-	watchDoubles  = 2                      // ... or more seldom, after so many doublings at most
-	watchAdvice   = 15 * time.Second       // discovery's own advice is followed up to this
+	watchEach     = 150 * time.Millisecond // where discovery has no room all routers together ask so often, doubled ...
+	watchMost     = 5 * time.Second        // ... up to this: its news counts as told after 6 s, and asking takes listWait
+	watchMoved    = 3 * time.Second        // or this, at an address that was moved to and has said nothing: 4 s there
 	watchSilent   = 6 * time.Second        // an empty line comes every 2 s
 	listWait      = time.Second            // the whole list comes at once or not at all
 	watchLine     = 4 << 20
@@ -156,23 +156,26 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: (&net.Dialer{Timeout: discoveryDial}).DialContext}}
 	turn := max(watchAgain, watchEach*time.Duration(d.Fronts))
-	pause := rand.N(turn / 2) // guards against routers that all start at once
 	for failed := 0; ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
 		begun := time.Now()
 		err := d.watchOnce(ctx, client, addr, &after)
 		if time.Since(begun) > watchSilent { // it has held for a while
 			failed = 0
 		}
-		pause = pauseAfter(err, failed, turn)
+		most := watchMost
+		if after == wholeList {
+			most = watchMoved
+		}
+		pause := pauseAfter(err, failed, turn, most)
 		failed++
 		if ctx.Err() == nil {
 			d.Log.Warn("watch ended", "addr", addr, "seq", after, "again_ms", pause.Milliseconds(), "err", err)
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
 	}
 }
 
@@ -185,18 +188,19 @@
 func (e notNow) Error() string { return fmt.Sprintf("status %d", e.status) }
 
 // pauseAfter is how long to wait after so many failures before this one. turn is the time in which each of
-// all routers may ask once. Guards discovery against routers that all ask again at once, and again: where it
-// has no room it must get less to do, not more, or it never catches up.
-func pauseAfter(err error, failed int, turn time.Duration) time.Duration {
+// all routers may ask once, most the longest wait. Guards discovery against routers that all ask again at once,
+// and again: where it has no room it must get less to do, not more, or it never catches up. And guards the rule
+// on drains against waits after which news that was not asked for counts as told.
+func pauseAfter(err error, failed int, turn, most time.Duration) time.Duration {
 	var busy notNow
 	switch {
 	case errors.As(err, &busy) && busy.after > 0:
-		return min(busy.after, watchAdvice) + rand.N(turn)
+		return min(busy.after+rand.N(turn), most/2+rand.N(most/2))
 	case errors.As(err, &busy), errors.Is(err, syscall.ECONNRESET):
-		turn <<= min(failed, watchDoubles)
+		turn = min(turn<<min(failed, 10), most*2/3)
 		return turn/2 + rand.N(turn)
 	}
-	most := min(watchAgain<<min(failed, 10), watchSeldom)
+	most = min(watchAgain<<min(failed, 10), watchSeldom)
 	return most/2 + rand.N(most/2)
 }
 
