Releases go to workers that answer, and to several one after the other

All that were asked lie behind the cut. Ruled out: the state's own reader (asked first or not listed any more), the end of the process, the module (it let go at once, at 17.734). At fault: core.go, release: four workers at random, one at a time, 120 ms each, so 480 ms without reaching anyone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,12 +8,14 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,8 +98,9 @@
 	router  *decide.Router
 	workers map[string]Worker // all that are listed
 	lives   map[decide.RequestID]*life
-	claimed map[string]bool // the ids that clients gave to their open requests
-	banned  map[string]bool // workers that operators have taken out, listed or not
+	claimed map[string]bool      // the ids that clients gave to their open requests
+	heard   map[string]time.Time // listed workers' latest answers, none where the last attempt met silence
+	banned  map[string]bool      // workers that operators have taken out, listed or not
 	lastID  decide.RequestID
 	running sync.WaitGroup // lives
 }
@@ -105,8 +108,10 @@
 // Limits of the core's own, none of them a decision on where requests go.
 const (
 	probeWait    = 250 * time.Millisecond // a probe without an answer is given up
-	releaseWait  = 120 * time.Millisecond // a release unanswered for so long is sent to another worker
-	releaseTries = 4
+	releaseNext  = 40 * time.Millisecond  // a release unanswered for so long is sent to another worker too
+	releaseWait  = 250 * time.Millisecond // and is given up after this
+	releaseTries = 8
+	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	overdue      = 15 * time.Millisecond  // the core fails what the module has left unanswered for so long
 	busyAgain    = 250 * time.Millisecond
@@ -117,8 +122,8 @@
 func New(set decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
 	now := time.Now()
 	c := &Core{set: set, prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
-		workers: make(map[string]Worker),
-		lives:   make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
+		workers: make(map[string]Worker), heard: make(map[string]time.Time),
+		lives: make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
 	r, err := decide.New(set, seed, (*actions)(c))
 	if err != nil {
 		return nil, err
@@ -186,6 +191,7 @@
 	for id, w := range c.workers { // guards against a list that grows for as long as the router runs
 		if w.State == decide.Gone {
 			delete(c.workers, id)
+			delete(c.heard, id)
 		}
 	}
 	c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, list) })
@@ -523,6 +529,7 @@
 // deadline and nothing more is sent for it.
 func (l *life) firstToken(e event) {
 	a, c := l.attempts[e.n], l.core
+	c.hears(a.To.ID, true)
 	c.mu.Lock()
 	won := l.verdict == Open
 	if won {
@@ -568,6 +575,9 @@
 	a.out = false
 	l.out--
 	a.cancel(errCancelled) // frees its context
+	if e.Status != decide.Moot {
+		l.core.hears(a.To.ID, e.Status == decide.Read || e.Status == decide.Full || e.Status == decide.Errored)
+	}
 	switch {
 	case e.Status == decide.Read:
 		l.held, l.waiting, l.reader = true, true, a.To
@@ -611,33 +621,28 @@
 	l.held, l.unknown, l.waiting = false, false, false
 }
 
+// hears notes whether a worker has answered.
+func (c *Core) hears(id string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.workers[id]; ok && answered {
+		c.heard[id] = time.Now()
+	} else {
+		delete(c.heard, id)
+	}
+}
+
 // release lets go of all that is held for a request, at any worker that answers. A worker may be
-// dead or silent, so the next is asked soon. Where the fate of a read is unknown it is done once
-// more a little later: the state may appear just after the first call. still says that the request
-// has not been sent again meanwhile, which would give it a state that is wanted.
+// dead, silent or cut off, so the next is asked soon, and while the first may still answer. Where the fate
+// of a read is unknown it is done once more a little later: the state may appear just after the first call.
+// still says that the request has not been sent again meanwhile, which would give it a state that is wanted.
 func (c *Core) release(l *life, first Worker, unknown bool, still func() bool) {
 	defer c.running.Done()
-	once := func() bool {
-		var err error
-		for i, w := range c.releasers(first) {
-			if i >= releaseTries || !still() {
-				break
-			}
-			ctx, stop := context.WithTimeout(context.Background(), releaseWait)
-			err = l.via.Release(ctx, w)
-			stop()
-			if err == nil {
-				return true
-			}
-			c.log.Warn("release failed", "id", l.ID, "worker", w.ID, "err", err)
-		}
-		return false
-	}
-	ok := once()
+	ok := c.releaseOnce(l, first, still)
 	if unknown {
 		time.Sleep(releaseAgain)
 		if still() {
-			ok = once() || ok
+			ok = c.releaseOnce(l, first, still) || ok
 		}
 	}
 	if !ok && still() {
@@ -645,20 +650,70 @@
 	}
 }
 
-// releasers lists the workers that a release may be sent to, the one that holds the state first.
+// releaseOnce asks one worker after the other until one has answered.
+func (c *Core) releaseOnce(l *life, first Worker, still func() bool) bool {
+	all := c.releasers(first)
+	all = all[:min(len(all), releaseTries)]
+	done := make(chan error, len(all))
+	call := func(w Worker) {
+		ctx, stop := context.WithTimeout(context.Background(), releaseWait)
+		defer stop()
+		err := l.via.Release(ctx, w)
+		c.hears(w.ID, err == nil)
+		if err != nil {
+			c.log.Warn("release failed", "id", l.ID, "worker", w.ID, "err", err)
+		}
+		done <- err
+	}
+	next := time.NewTicker(releaseNext)
+	defer next.Stop()
+	for asked, out := 0, 0; asked < len(all) && still() || out > 0; {
+		if asked < len(all) && still() {
+			go call(all[asked])
+			asked, out = asked+1, out+1
+		}
+		select {
+		case err := <-done:
+			if out--; err == nil {
+				return true
+			}
+		case <-next.C:
+		}
+	}
+	return false
+}
+
+// releasers lists the workers that a release may be sent to: the one that holds the state, then those that
+// have answered lately, the latest first, then those of this router's zone, then the rest. Guards the pin limit
+// while this zone, or another one, is cut off and most workers can't be reached.
 func (c *Core) releasers(first Worker) []Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []Worker
 	for _, w := range c.workers {
-		if w.State != decide.Gone && w.ID != first.ID {
+		if w.State != decide.Gone {
 			all = append(all, w)
 		}
 	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	if w := c.workers[first.ID]; w.ID != "" && w.State != decide.Gone {
-		all = append([]Worker{w}, all...)
+	since := time.Now().Add(-heardLately)
+	place := func(w Worker) int {
+		switch {
+		case w.ID == first.ID:
+			return 0
+		case c.heard[w.ID].After(since):
+			return 1
+		case w.Zone == c.set.Zone:
+			return 2
+		}
+		return 3
 	}
+	slices.SortStableFunc(all, func(a, b Worker) int {
+		if byPlace := cmp.Compare(place(a), place(b)); byPlace != 0 || place(a) != 1 {
+			return byPlace
+		}
+		return c.heard[b.ID].Compare(c.heard[a.ID])
+	})
 	return all
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +23,7 @@
 	tries    []Attempt
 	released []string
 	refuse   map[string]bool // workers that take no release
+	mute     map[string]bool // workers that can't be reached
 }
 
 func (s *scripted) Try(ctx context.Context, a Attempt) Result {
@@ -30,7 +33,11 @@
 	return s.try(ctx, a)
 }
 
-func (s *scripted) Release(_ context.Context, at Worker) error {
+func (s *scripted) Release(ctx context.Context, at Worker) error {
+	if s.mute[at.ID] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.released = append(s.released, at.ID)
@@ -273,3 +280,31 @@
 		t.Error("never free again")
 	}
 }
+
+// While a zone is cut off most workers can't be reached, the reader that holds a state among them. Those that
+// have answered lately, then those of the router's own zone, must be asked to let it go before others, and
+// each while the ones before it may still answer: else the limit passes before anyone has been reached.
+func TestReleaseReachesAWorkerWhileOthersAreCutOff(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		s := &scripted{mute: map[string]bool{"r": true}}
+		c := started(t, s)
+		all := []Worker{{Server: decide.Server{ID: "near", Kind: 1}}}
+		for i := range 99 {
+			w := Worker{Server: decide.Server{ID: fmt.Sprint("far", i), Kind: 1, Zone: 1}}
+			s.mute[w.ID] = true
+			all = append(all, w)
+		}
+		want := "near"
+		if heard {
+			want = "far7"
+			delete(s.mute, want)
+		}
+		c.SetWorkers(false, all)
+		c.hears("far7", heard)
+		c.running.Add(1)
+		c.release(&life{core: c, via: s}, Worker{Server: decide.Server{ID: "r"}}, false, func() bool { return true })
+		if !slices.Equal(s.released, []string{want}) {
+			t.Errorf("taken by %v, want %s", s.released, want)
+		}
+	}
+}
