A busy router among hundreds is no full fleet; one error is enough; a cut zone is left alone

Checked: 8 to 12 requests under way times 330 routers are more tokens than all writers hold, at n0 within a second (overloaded, line 187). Ruled out for n0: behind (it reads what probes tell, alike for all), limits on connections and bodies (no "full house" beyond bad clients), descriptors. At fault: decide.go, overloaded, admits, fill: own counts times Fronts; ill: badLeast asks for two failures within 4 s where a server is met once a minute; ready: nothing above one server has a health. Now own counts stand for four fronts at most (the site's own number, among more they differ too much); the failures that are asked for shrink with what is usually sent; a zone in which an attempt met no sign since it was sent is left alone for 1 to 4 s while there are others. Sizes up to four fronts are untouched.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	valveAim    = 0.1              // or more where waits are less than this share of the aim
 	popular     = 1.25             // a reader takes so many times the mean of its peers
 	fillLeast   = 0.02             // emptier pools count as this full in that
+	alikeMost   = 4                // own counts stand for so many fronts at most, see alike
 	mixedLean   = 2.0              // the mixed servers' share may grow or shrink by this factor
 
 	// Attempts and final answers.
@@ -52,12 +53,16 @@
 	slowTimes   = 2.5                    // a server is slow where they take so many times the mean, ...
 	slowDoubt   = 2.0                    // ... after so many answers at the mean
 	badShare    = 0.3                    // share of failed attempts at which a server is suspect ...
-	badLeast    = 1.5                    // ... once so many failed lately
+	badLeast    = 1.5                    // ... once so many failed lately, ...
+	badSeldom   = 0.5                    // ... or this and as many as are usually sent there in a while
 	waitWeight  = 0.25                   // weight of the latest wait in a running mean
 	slowWeight  = 0.02                   // weight of a read slower than the unhindered pace in that
 	restMin     = time.Second            // a suspect server rests so long before its first trial
 	restMax     = 8 * time.Second        // doubled after each failed one up to this
 	restSeldom  = 16 * time.Second       // or the usual time between sends to it, up to this
+	missRefused = 0.5                    // a refused connection or a silence tells so much of the whole zone
+	missQuick   = 50 * time.Millisecond  // a connection that failed sooner was refused
+	missSpan    = 4 * time.Second        // a zone is left alone for up to this, see miss
 	fullRestMin = 100 * time.Millisecond // a full server is passed over for so long
 	fullTimes   = 50                     // or so many times as long as the refusal took
 	fullRestMax = 30 * time.Second       // doubled each time it is full again, up to this
@@ -92,7 +97,7 @@
 	r := &Router{set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: make(map[string]*server), open: make(map[RequestID]*request)}
 	r.kinds, r.asked = make([]kind, len(set.Kinds)), make([]rate, len(set.Tenants))
-	r.cells, r.reads.span = make(map[int]*cell), usualSpan
+	r.cells, r.zones, r.reads.span = make(map[int]*cell), make(map[int]*zone), usualSpan
 	for i := range r.kinds {
 		r.kinds[i].asked.span, r.kinds[i].took.span = usualSpan, usualSpan
 	}
@@ -184,7 +189,7 @@
 // capacity, whatever the cause: readers that are behind lose their kept prefixes to the states
 // that wait and then read everything anew. It could hurt for a moment after a short stall.
 func (r *Router) overloaded(p *request, s *server) bool {
-	fill := float64(r.tokens) * float64(r.set.Fronts) / (r.room[Writer] + r.room[Mixed])
+	fill := float64(r.tokens) * r.alike() / (r.room[Writer] + r.room[Mixed])
 	if len(p.sent) == 0 && fill > shedFill*r.eager(p, s) {
 		return true
 	}
@@ -218,6 +223,12 @@
 	return s.wait.among(peers, r.now, rateSpan)
 }
 
+// alike is how many fronts this front's own counts stand for. Guards against a busy front among many that
+// takes its few requests for a full fleet: with a handful of fronts each has its part, among hundreds some
+// see many times the mean, and what they have under way tells little of the others. What the servers show
+// (waits, probes, refusals) tells it all the same.
+func (r *Router) alike() float64 { return float64(min(r.set.Fronts, alikeMost)) }
+
 // eager is how much p is worth at s: dear classes first, and what is kept there costs little.
 func (r *Router) eager(p *request, s *server) float64 {
 	match, _ := s.prefixes.match(&p.Request, r.now)
@@ -464,7 +475,7 @@
 // counts too, for cells with few of them. It could hurt where a few requests look like popularity.
 func (r *Router) admits(p *request, s *server, mean float64) bool {
 	mute := s.probedAt > s.toldAt && r.now-s.probedAt < probeFresh && r.toldAt >= s.probedAt
-	if mute || s.out*r.set.Fronts >= readersCap {
+	if mute || float64(s.out)*r.alike() >= readersCap {
 		return false
 	}
 	n := s.asked.value(r.now)
@@ -519,9 +530,9 @@
 // it rests on what is under way there. The fewer requests that part holds, the more it leans on
 // what all that this front has under way lets expect: one request among many fronts says little.
 func (r *Router) fill(s *server) (fill, own float64) {
-	part := r.memory(s) / float64(r.set.Fronts)
+	part := r.memory(s) / r.alike()
 	lean := peersWeight * float64(r.held[s.role]) / float64(max(1, r.streams[s.role]))
-	fleet := float64(r.held[s.role]) * float64(r.set.Fronts) / r.room[s.role]
+	fleet := float64(r.held[s.role]) * r.alike() / r.room[s.role]
 	return (float64(s.tokens) + lean*fleet*r.crowd(s)) / (part + lean), part / (part + lean)
 }
 
@@ -547,6 +558,9 @@
 		return s.role == role && s.State == Ready && !slices.Contains(p.failed, s) &&
 			!s.isFull(p.party(), r.now) && r.mayRepeat(p, s) && r.mayWarm(s)
 	})
+	if near := filter(fit, func(s *server) bool { return r.now >= r.zone(s.Zone).rest.till }); len(near) > 0 {
+		fit = near
+	}
 	each := r.hints(role)
 	well := filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(s, each) })
 	if 2*len(well) < len(fit) {
@@ -584,7 +598,7 @@
 
 // well books an attempt that s took after a wait of so many seconds.
 func (r *Router) well(s *server, wait float64) {
-	s.sign = r.now
+	r.signs(s)
 	if r.warm(s) {
 		r.kinds[s.Kind].took.add(r.now, 1/float64(max(1, r.warmOnes(s.Kind))))
 	}
@@ -601,14 +615,34 @@
 // unlucky failures meet a server that gets little traffic, for one rest.
 func (r *Router) ill(s *server, weight float64) {
 	s.bad.add(r.now, weight)
-	if s.bad.value(r.now) < badLeast || r.failShare(s) < badShare || r.now < s.rest.till {
+	usual := r.usual(s.Kind)
+	least := min(badLeast, badSeldom+usual*rateSpan.Seconds())
+	if s.bad.value(r.now) < least || r.failShare(s) < badShare || r.now < s.rest.till {
 		return
 	}
 	s.suspect = true
-	seldom := seconds(min(1/max(r.usual(s.Kind), 1e-3), restSeldom.Seconds()))
+	seldom := seconds(min(1/max(usual, 1e-3), restSeldom.Seconds()))
 	s.rest.extend(r.now, max(restMin, seldom), max(restMax, seldom))
 }
 
+// miss books an attempt that met no sign of life, at a server of whose zone nothing has been heard since it
+// was sent: once that says so the zone is left alone for a while, if there are others. Guards against
+// learning worker by worker, a connect timeout each, that a zone is cut off or lost. It could hurt where
+// one dead server is all that a front sees of a zone, for a second.
+func (r *Router) miss(s *server, sent time.Duration, weight float64) {
+	z := r.zone(s.Zone)
+	if z.sign >= sent {
+		return
+	}
+	if r.now-z.missedAt > missSpan {
+		z.missed = 0
+	}
+	z.missed, z.missedAt = z.missed+weight, r.now
+	if z.missed >= 1 && r.now >= z.rest.till {
+		z.rest.extend(r.now, restMin, missSpan)
+	}
+}
+
 func (r *Router) failShare(s *server) float64 {
 	bad := s.bad.value(r.now)
 	return bad / max(1, bad+s.good.value(r.now))
@@ -824,15 +858,20 @@
 	case Served:
 		s.good.add(r.now, 1)
 	case Full:
-		s.sign = r.now
+		r.signs(s)
 		if !o.NoState {
 			r.turnedAway(s, p.party(), o.Took)
 		}
 	case Errored, Reset:
-		s.sign = r.now
+		r.signs(s)
 		r.ill(s, 1)
 	case ConnectFailed:
 		r.ill(s, badLeast)
+		if o.Took >= missQuick {
+			r.miss(s, a.at, 1)
+		} else {
+			r.miss(s, a.at, missRefused)
+		}
 	case TimedOut, Cancelled:
 		if a.begun { // a client that left its stream tells nothing of waits
 			break
@@ -844,6 +883,7 @@
 		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
 		if s.sign < a.at {
 			r.ill(s, badLeast)
+			r.miss(s, a.at, missRefused)
 		}
 	}
 	never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot || o.Status == Served
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1127,3 +1127,108 @@
 		t.Errorf("%d and %d entries kept, want %d at most", p.order.Len(), len(p.entries), most)
 	}
 }
+
+// A front that sees many times the mean among hundreds must not take what it has under way for a full fleet:
+// it would refuse nearly all that it gets, pass its writers over and shut each reader after one send.
+func TestABusyFrontAmongManyServes(t *testing.T) {
+	set := settings()
+	set.Fronts = 300
+	set.Classes[0].TokenAim = 0
+	var all []Server
+	for i := range 30 {
+		all = append(all, Server{ID: fmt.Sprintf("r%d", i), Kind: 0}, Server{ID: fmt.Sprintf("w%d", i), Kind: 1})
+	}
+	r, f := start(t, set, all)
+	for id := RequestID(1); id <= 100; id++ {
+		q := ask(id)
+		q.Prefix = uint64(id % 10)
+		r.Request(0, q)
+		if f.has(fmt.Sprintf("refuse %d", id)) {
+			t.Fatalf("request %d is refused while nothing waits anywhere", id)
+		}
+		r.Outcome(50*ms, Outcome{ID: id, Server: f.last(), Status: Read, Took: 50 * ms, Kept: q.Prompt})
+		r.Started(80*ms, Started{ID: id, Attempt: 1, Server: f.last(), Took: 30 * ms})
+	}
+	home := r.servers["r3"]
+	home.out = 1
+	p := &request{Request: ask(1000), class: &r.set.Classes[0]}
+	if !r.admits(p, home, 1) {
+		t.Error("one read in flight shuts a reader")
+	}
+	for _, s := range r.listed {
+		if s.role == Writer {
+			if fill, _ := r.fill(s); fill > 1 {
+				t.Errorf("%s counts as full with %d of %v tokens", s.ID, s.tokens, r.memory(s))
+			}
+		}
+	}
+}
+
+// Where a front meets a server seldom, a single error must be enough: others only come after minutes, and each
+// is another request that failed. Where it meets it often one error among many answers means nothing.
+func TestOneErrorIsEnoughWhereFewAreSent(t *testing.T) {
+	for _, often := range []bool{false, true} {
+		set := settings()
+		set.Fronts = 300
+		r, _ := start(t, set, many(14, 3, 3))
+		r.now = time.Minute
+		if often {
+			r.kinds[0].took.add(r.now, 10*usualSpan.Seconds())
+		}
+		s := r.servers["r0.0"]
+		if r.ill(s, 1); s.suspect == often {
+			t.Errorf("sent often: %v, suspect: %v", often, s.suspect)
+		}
+	}
+}
+
+// A zone that is cut off or lost must be left alone after the first connection that never comes up, or two that
+// are refused or stay silent, and tried again after a rest. While other servers of it answer, one that is dead
+// must not shut it; and where no zone answers all are tried.
+func TestAZoneThatIsCutOffIsLeftAlone(t *testing.T) {
+	readers := func(r *Router) (zones []int) {
+		p := &request{Request: ask(99), class: &r.set.Classes[0]}
+		for _, s := range r.ready(p, Reader) {
+			zones = append(zones, s.Zone)
+		}
+		slices.Sort(zones)
+		return slices.Compact(zones)
+	}
+	for _, c := range []struct {
+		took  time.Duration
+		times int
+	}{{250 * ms, 1}, {ms, 2}} {
+		r, f := start(t, settings(), fleet())
+		fail := func(id RequestID, zone int, began time.Duration) {
+			r.Request(began, ask(id))
+			r.open[id].sent[0].server = r.servers[fmt.Sprintf("r%d0", zone)]
+			r.Outcome(began+c.took, Outcome{ID: id, Status: ConnectFailed, Took: c.took})
+		}
+		for i := range c.times {
+			if got := readers(r); !slices.Equal(got, []int{0, 1}) {
+				t.Errorf("%v: zones %v after %d misses", c.took, got, i)
+			}
+			fail(RequestID(i+1), 1, time.Second)
+		}
+		if got := readers(r); !slices.Equal(got, []int{0}) {
+			t.Errorf("%v: zones %v are asked, want 0", c.took, got)
+		}
+		for i := range c.times {
+			fail(RequestID(i+11), 0, time.Second+c.took)
+		}
+		if got := readers(r); !slices.Equal(got, []int{0, 1}) {
+			t.Errorf("%v: zones %v are asked where none answers", c.took, got)
+		}
+		if r.now += restMin; !slices.Equal(readers(r), []int{0, 1}) {
+			t.Errorf("%v: not asked again after the rest", c.took)
+		}
+		_ = f
+	}
+	r, _ := start(t, settings(), fleet())
+	r.now = 3 * time.Second
+	r.signs(r.servers["r10"])
+	r.miss(r.servers["r11"], 2*time.Second, 1)
+	if got := readers(r); !slices.Equal(got, []int{0, 1}) {
+		t.Error("one dead server shuts a zone that answers")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,6 +23,7 @@
 	asked    []rate // requests by tenant
 	kinds    []kind
 	cells    map[int]*cell
+	zones    map[int]*zone
 	reads    rate               // states held
 	readers  float64            // ready ones
 	room     [Mixed + 1]float64 // the ready servers' memory for answers, by role
@@ -54,6 +55,14 @@
 	moves   mean    // time to the first token of those
 }
 
+// zone is what this front knows of the way to a zone.
+type zone struct {
+	sign     time.Duration // the last sign of life from any server there
+	missed   float64       // attempts since then that met none
+	missedAt time.Duration // the latest of them
+	rest     rest
+}
+
 // server is what this front knows of one listed server.
 type server struct {
 	Server
@@ -263,6 +272,23 @@
 	return r.cells[s.Cell]
 }
 
+func (r *Router) zone(id int) *zone {
+	if r.zones[id] == nil {
+		r.zones[id] = &zone{}
+	}
+	return r.zones[id]
+}
+
+// signs notes a sign of life.
+func (r *Router) signs(s *server) {
+	s.sign = r.now
+	z := r.zone(s.Zone)
+	z.sign, z.missed = r.now, 0
+	if r.now >= z.rest.till {
+		z.rest = rest{}
+	}
+}
+
 // book counts own tokens under way at s.
 func (r *Router) book(s *server, tokens, streams int) {
 	s.tokens += tokens
