Writers near the reader are probed while it reads; those without room are passed by

Now, where there are more than four fronts, two writers of the reader's cell and one near it are probed when a read is sent; by its end the load is known: a queue, 0.9 of the memory held or no answer passes a writer by, and of two told ones the emptier takes the state. The record of prefixes moves to state.go, unchanged.

--- a/decide/api.go
+++ b/decide/api.go
@@ -171,6 +171,7 @@
 	Server string
 	Queue  float64 // requests that wait
 	Tokens float64 // prompt tokens that wait to be read or fetched
+	Held   float64 // share of its memory that is held; told where Queue is
 }
 
 // ServerState is what the server list says of a server.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"container/list"
 	"errors"
 	"fmt"
 	"maps"
@@ -39,6 +38,11 @@
 	answerTicks = 2                      // final answers are given so many ticks before the deadline
 	probeWait   = 10 * time.Millisecond  // a probe's answer is waited for this long ...
 	probeFresh  = 500 * time.Millisecond // ... and taken for true this long
+	probeOld    = time.Second            // a writer's load is, so long
+	probeMute   = 30 * time.Millisecond  // a writer that has not answered by then has no room
+	scoutNear   = 3                      // writers are probed for a request, ...
+	scoutFar    = 1                      // ... so many of them outside the reader's cell
+	writerJam   = 0.9                    // a writer with so much of its memory held has no room
 	pinShare    = 0.7                    // share of the pin limit for which a state may wait for a writer
 	holdStep    = 50 * time.Millisecond  // a request that no server may take is looked at again
 	askAgain    = time.Second            // a failed call for the server list is made again after this
@@ -302,6 +306,39 @@
 	return true
 }
 
+// scout probes some writers near the reader that p goes to, so that their load is known when it has been
+// read. Acts where so many fronts feed the writers that own counts tell nothing of them. Guards against the
+// few writers of a cell that drown while each front sends one answer a minute there; it costs three probes.
+func (r *Router) scout(p *request, reader *server) {
+	if !r.set.CanProbe || r.alike() == float64(r.set.Fronts) {
+		return
+	}
+	near, way := scoutNear, r.ready(p, Writer)
+	r.rng.Shuffle(len(way), func(i, j int) { way[i], way[j] = way[j], way[i] })
+	slices.SortStableFunc(way, func(a, b *server) int { return distance(a, reader) - distance(b, reader) })
+	for _, w := range way {
+		if w.Cell == reader.Cell && near <= scoutFar {
+			continue
+		}
+		if near--; near < 0 {
+			return
+		}
+		if r.now-w.probedAt > probeFresh/2 {
+			w.probedAt = r.now
+			r.out.Probe(w.ID)
+		}
+	}
+}
+
+// jammed says that a probe has lately told that s has no room, or is not answered where others are.
+func (r *Router) jammed(s *server) bool {
+	mute := s.probedAt > s.loadAt && r.now-s.probedAt > probeMute && r.now-s.probedAt < probeOld
+	return mute && r.toldAt >= s.probedAt || r.told(s) && (s.queue >= 1 || s.load > writerJam)
+}
+
+// told says that the load of s is known from a probe.
+func (r *Router) told(s *server) bool { return s.loadAt > 0 && r.now-s.loadAt < probeOld }
+
 // Probed takes what waits at a server, as the time to read it.
 func (r *Router) Probed(now time.Duration, l Probed) {
 	r.now = now
@@ -313,6 +350,11 @@
 		s.told, s.toldAt = r.perToken*l.Tokens, now
 	case l.Queue >= 0:
 		s.told, s.toldAt = r.perToken*l.Queue*tokenLeast, now
+	default:
+		s.probedAt = 0 // it has answered
+	}
+	if s != nil && l.Queue >= 0 {
+		s.queue, s.load, s.loadAt = l.Queue, l.Held, now
 	}
 }
 
@@ -338,6 +380,9 @@
 	if read || p.holder == nil {
 		s.prefixes.sent(&p.Request, r.now)
 	}
+	if read {
+		r.scout(p, s)
+	}
 	if !read {
 		r.book(s, r.size(p), 1)
 	}
@@ -498,6 +543,9 @@
 	if len(all) == 0 {
 		all = r.ready(p, Mixed)
 	}
+	if free := filter(all, func(s *server) bool { return !r.jammed(s) }); len(free) > 0 {
+		all = free
+	}
 	draw, quick := r.rng.Float64(), valveAim*r.aim(p).Seconds()
 	limit := writerFill * min(1, (r.far.value+quick)/(r.near.value+quick))
 	open := filter(all, func(s *server) bool {
@@ -546,7 +594,7 @@
 		return of[i]
 	}
 	a, b := of[i], of[(i+1+r.rng.IntN(len(of)-1))%len(of)]
-	if b.tokens < a.tokens {
+	if r.told(a) && r.told(b) && b.load < a.load || !(r.told(a) && r.told(b)) && b.tokens < a.tokens {
 		return b
 	}
 	return a
@@ -931,41 +979,6 @@
 	}
 }
 
-// prefixes is the record of what was lately sent to one reader.
-type prefixes struct {
-	entries map[prefixKey]*list.Element
-	order   *list.List // latest first
-}
-
-type prefixKey struct {
-	session bool
-	key     uint64
-}
-
-type prefix struct {
-	key    prefixKey
-	tokens int
-	at     time.Duration
-}
-
-func newPrefixes() prefixes {
-	return prefixes{entries: make(map[prefixKey]*list.Element), order: list.New()}
-}
-
-// match is the longest known beginning of q, and when it was last sent.
-func (t *prefixes) match(q *Request, now time.Duration) (tokens int, since time.Duration) {
-	for _, k := range []prefixKey{{false, q.Prefix}, {true, q.Session}} {
-		e := t.entries[k]
-		if k.key == 0 || e == nil {
-			continue
-		}
-		if x := e.Value.(*prefix); now-x.at <= prefixTTL && x.tokens > tokens {
-			tokens, since = x.tokens, x.at
-		}
-	}
-	return tokens, since
-}
-
 // correct takes in how much of a matched prompt was found kept. Guards against pinning sessions
 // to a reader that has lost their prefixes, by a flush, a restart not yet listed or for want of
 // memory: readers too forget the oldest first, so what was sent before the lost one is lost as
@@ -980,31 +993,5 @@
 	}
 }
 
-// drop forgets the prefix that was sent longest ago.
-func (t *prefixes) drop() {
-	delete(t.entries, t.order.Remove(t.order.Back()).(*prefix).key)
-}
-
-// sent records that q was sent.
-func (t *prefixes) sent(q *Request, now time.Duration) {
-	t.put(prefixKey{false, q.Prefix}, q.PrefixLen, now)
-	t.put(prefixKey{true, q.Session}, q.Prompt, now)
-}
-
-func (t *prefixes) put(k prefixKey, tokens int, now time.Duration) {
-	if k.key == 0 {
-		return
-	}
-	if e := t.entries[k]; e != nil {
-		*e.Value.(*prefix) = prefix{k, tokens, now}
-		t.order.MoveToFront(e)
-		return
-	}
-	t.entries[k] = t.order.PushFront(&prefix{k, tokens, now})
-	for t.order.Len() > prefixTable || now-t.order.Back().Value.(*prefix).at > prefixTTL {
-		t.drop()
-	}
-}
-
 // homeRank orders servers for a key alike at every front (rendezvous hashing).
 func homeRank(s *server, key uint64) uint64 { return mix(s.hash ^ mix(key)) }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1232,3 +1232,54 @@
 		t.Error("one dead server shuts a zone that answers")
 	}
 }
+
+// One front among many can't tell from its own counts that the writers next to a reader have no room: it must
+// have probed them by the time the state waits, and pass by those that told so or left the probe unanswered.
+func TestWritersWithoutRoomArePassedBy(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load Probed
+		mute bool
+		near bool
+	}{
+		{"room", Probed{Held: 0.5, Tokens: -1}, false, true}, {"queue", Probed{Queue: 3, Held: 0.5, Tokens: -1}, false, false},
+		{"memory", Probed{Held: 0.97, Tokens: -1}, false, false}, {"mute", Probed{}, true, false},
+		{"no load", Probed{Queue: -1, Tokens: -1}, false, true},
+	} {
+		set := settings()
+		set.Fronts, set.CanProbe = 300, true
+		r, f := start(t, set, fleet())
+		r.Request(time.Second, ask(1))
+		r.Timer(r.open[1].retryAt, 1)
+		reader := r.servers[f.last()]
+		probed := 0
+		for _, s := range r.listed {
+			if s.role != Writer || !f.has("probe "+s.ID) {
+				continue
+			}
+			probed++
+			if load := c.load; s.Cell != reader.Cell || !c.mute {
+				if load.Server = s.ID; s.Cell != reader.Cell {
+					load = Probed{Server: s.ID, Tokens: -1}
+				}
+				r.Probed(r.now+ms, load)
+			}
+		}
+		if probed != scoutNear {
+			t.Fatalf("%s: %d writers probed: %v", c.name, probed, f.did)
+		}
+		r.Outcome(r.now+100*ms, Outcome{ID: 1, Server: reader.ID, Status: Read, Took: 100 * ms, Kept: 3000})
+		if got := r.servers[f.last()]; got.role != Writer || (got.Cell == reader.Cell) != c.near {
+			t.Errorf("%s: the state at %s goes to %s", c.name, reader.ID, f.last())
+		}
+	}
+	r, f := start(t, settings(), fleet())
+	r.set.CanProbe = true
+	r.now = time.Second
+	for _, s := range r.listed {
+		s.wait.add(0.01, r.now)
+	}
+	if r.Request(time.Second, ask(1)); f.count("probe w") > 0 {
+		t.Error("writers are probed where own counts tell enough")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -74,6 +75,9 @@
 	told     float64       // seconds of reading that waited there ...
 	toldAt   time.Duration // ... when it was probed
 	probedAt time.Duration // last probed then
+	queue    float64       // requests that waited and ...
+	load     float64       // ... share of its memory held, ...
+	loadAt   time.Duration // ... as a probe told then, 0 = never
 	hash     uint64        // of its id
 	match    int           // of the request that is ranked
 	fill     float64       // of the writer that is picked
@@ -310,3 +314,75 @@
 	}
 	return shrunk(c.reads.value(r.now), all*c.readers/r.readers) / all * r.room[Writer] / c.memory
 }
+
+// prefixes is the record of what was lately sent to one reader.
+type prefixes struct {
+	entries map[prefixKey]*list.Element
+	order   *list.List // latest first
+}
+
+type prefixKey struct {
+	session bool
+	key     uint64
+}
+
+type prefix struct {
+	key    prefixKey
+	tokens int
+	at     time.Duration
+}
+
+func newPrefixes() prefixes {
+	return prefixes{entries: make(map[prefixKey]*list.Element), order: list.New()}
+}
+
+// match is the longest known beginning of q, and when it was last sent.
+func (t *prefixes) match(q *Request, now time.Duration) (tokens int, since time.Duration) {
+	for _, k := range []prefixKey{{false, q.Prefix}, {true, q.Session}} {
+		e := t.entries[k]
+		if k.key == 0 || e == nil {
+			continue
+		}
+		if x := e.Value.(*prefix); now-x.at <= prefixTTL && x.tokens > tokens {
+			tokens, since = x.tokens, x.at
+		}
+	}
+	return tokens, since
+}
+
+// drop forgets the prefix that was sent longest ago.
+func (t *prefixes) drop() {
+	delete(t.entries, t.order.Remove(t.order.Back()).(*prefix).key)
+}
+
+// sent records that q was sent.
+func (t *prefixes) sent(q *Request, now time.Duration) {
+	t.put(prefixKey{false, q.Prefix}, q.PrefixLen, now)
+	t.put(prefixKey{true, q.Session}, q.Prompt, now)
+}
+
+func (t *prefixes) put(k prefixKey, tokens int, now time.Duration) {
+	if k.key == 0 {
+		return
+	}
+	if e := t.entries[k]; e != nil {
+		*e.Value.(*prefix) = prefix{k, tokens, now}
+		t.order.MoveToFront(e)
+		return
+	}
+	t.entries[k] = t.order.PushFront(&prefix{k, tokens, now})
+	for t.order.Len() > prefixTable || now-t.order.Back().Value.(*prefix).at > prefixTTL {
+		t.drop()
+	}
+}
+
+// distance orders servers by how far a state goes to them.
+func distance(to, from *server) int {
+	switch {
+	case to.Cell == from.Cell:
+		return 0
+	case to.Zone == from.Zone:
+		return 1
+	}
+	return 2
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -346,6 +346,8 @@
 		switch name {
 		case "queue", "pending":
 			p.Queue = v
+		case "x0":
+			p.Held = v
 		case "x1":
 			p.Tokens = v * 1000
 		}
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -175,6 +175,8 @@
 		switch name {
 		case "pending":
 			p.Queue, told = v, true
+		case "x0":
+			p.Held = v
 		case "x1":
 			p.Tokens, told = v*1000, true
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -49,7 +49,7 @@
 		{[]string{"pong front_2 900 GOOD engine.a -"}, Ignored{}},
 		{[]string{"pong front_2 900 LATE engine.a x1:2.5"}, Ignored{}},
 		{[]string{"pong front_2 900 GOOD engine.a svc_ms:4.5,x1:2.5"}, decide.Probed{Server: "engine.a", Queue: -1, Tokens: 2500}},
-		{[]string{"pong front_2 900 GOOD engine.a pending:3,x0:0.5"}, decide.Probed{Server: "engine.a", Queue: 3, Tokens: -1}},
+		{[]string{"pong front_2 900 GOOD engine.a pending:3,x0:0.5"}, decide.Probed{Server: "engine.a", Queue: 3, Tokens: -1, Held: 0.5}},
 		{[]string{"place_note front_2 41 engine.a 1 0.5 0"}, Ignored{}},
 		{[]string{"roster_change front_2 lost 3 0"}, decide.ServerList{Failed: true}},
 		{[]string{"roster_change front_2 total 4 2", "entry - healthy 0 1 1.5 2 engine.a",
