Fronts that meet a cold server seldom send it a part of their sessions

Checked by arithmetic on mayWarm: a front that would send a warm reader 0.07 requests in a window has a turn at a cold one in 8 of 100 windows, and a request for it in 7 of 100 of those: 0.08 of what the cold server would get warm, where the rule allows 0.85 and it can take 0.34 at its start. After a kill usual is 0 and so is the sum of all turns. Now a front that sends less than 0.7 requests in a window tries a cold server with the sessions whose hash lies under 0.7 of what it can do now, once in a window, unless a probe tells a queue, no memory or nothing. The way not taken: longer turns for seldom fronts; they are not met by requests either.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -78,6 +78,7 @@
 	usualSpan = 30 * time.Second // how fast what warm servers took is forgotten
 	coldShare = 0.65             // used share of the allowed multiple of a cold server's capacity
 	coldIdle  = 0.7              // fronts that use their turns seldom get more, up to 1/0.7 of them
+	coldTry   = 0.7              // a cold server gets this part of the sessions that it could take
 	kinPart   = 0.7              // a kind without a warm server takes this part of what others take
 	coldGap   = 0.75             // a send that has faded to the rest of this leaves room for the next
 
@@ -604,7 +605,7 @@
 func (r *Router) ready(p *request, role Role) []*server {
 	fit := filter(r.listed, func(s *server) bool {
 		return s.role == role && s.State == Ready && !slices.Contains(p.failed, s) &&
-			!s.isFull(p.party(), r.now) && r.mayRepeat(p, s) && r.mayWarm(s)
+			!s.isFull(p.party(), r.now) && r.mayRepeat(p, s) && (r.mayWarm(s) || r.mayTry(p, s))
 	})
 	if near := filter(fit, func(s *server) bool { return r.now >= r.zone(s.Zone).rest.till }); len(near) > 0 {
 		fit = near
@@ -773,17 +774,27 @@
 // a server that warms quickly, the ramp only costs some seconds of its capacity. Fronts that seldom
 // have a request for it get more turns, but even if all were used the rule would be kept.
 func (r *Router) mayWarm(s *server) bool {
-	age := r.now - s.Since
 	if r.warm(s) || r.set.ColdWindow <= 0 {
 		return true
 	}
-	ramp := max(0, float64(age)/float64(r.set.ColdFor))
-	can := r.set.ColdFrom + (1-r.set.ColdFrom)*ramp
 	usual := r.usual(s.Kind) * r.set.ColdWindow.Seconds()
-	room := max(1, r.set.ColdMultiple*coldShare) * can * usual / min(1, max(coldIdle, usual))
+	room := max(1, r.set.ColdMultiple*coldShare) * r.can(s) * usual / min(1, max(coldIdle, usual))
 	return s.sends.value(r.now)+coldGap <= math.Floor(room+r.turn(s, uint64(r.now/r.set.ColdWindow)))
 }
 
+// mayTry lets a front that sends a server less than one request in a window send it a part of its sessions,
+// as many as it can take now, unless probes tell that it has no room. Guards against cold servers that stay
+// unused as a turn seldom meets a request, above all where most are new or most fronts have just started and
+// know no rates. It could push a very popular cold home for as long as its queue takes to be told.
+func (r *Router) mayTry(p *request, s *server) bool {
+	if !r.set.CanProbe || r.alike() == float64(r.set.Fronts) || r.jammed(s) ||
+		r.usual(s.Kind)*r.set.ColdWindow.Seconds() >= coldIdle {
+		return false
+	}
+	draw := part(homeRank(s, mix(^cmp.Or(p.Session, uint64(p.ID)))))
+	return s.sends.value(r.now) <= 1-coldGap && draw < coldTry*r.can(s)
+}
+
 // turn is this front's place among the fronts, evenly spread over 0 to 1, in an order that changes
 // with the server and the round: where each front adds it to a part below one request and rounds
 // down, the whole requests of all come to the sum of the parts.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1283,3 +1283,54 @@
 		t.Error("writers are probed where own counts tell enough")
 	}
 }
+
+// Hundreds of fronts, none of which meets a cold server more often than once in minutes, must use it all the
+// same, together by no more than it can take now, also where all have just started and know no rates; and none of
+// them where its queue is told, or twice in a window.
+func TestManySeldomFrontsUseAColdServer(t *testing.T) {
+	sessions, used := 0, 0
+	for front := range 300 {
+		set := settings()
+		set.Front, set.Fronts, set.CanProbe = front, 300, true
+		now := 100 * time.Second
+		r, _ := start(t, set, fleet())
+		r.Servers(now, ServerList{Servers: []Server{{ID: "r00", Kind: 0, Since: now - set.ColdFor/2}}})
+		r.now = now
+		s, first := r.servers["r00"], true
+		for id := range RequestID(10) {
+			q := ask(id)
+			q.Session = uint64(front)<<8 | uint64(id)
+			p := &request{Request: q, class: &set.Classes[0]}
+			sessions++
+			if !r.mayTry(p, s) {
+				continue
+			}
+			used++
+			if s.queue, s.loadAt = 4, now; r.mayTry(p, s) {
+				t.Fatal("tried though its queue is told")
+			}
+			s.queue, s.loadAt = 0, 0
+			if first {
+				s.sends.add(now, 1)
+				if first = false; r.mayTry(p, s) {
+					t.Fatal("tried twice in a window")
+				}
+				s.sends.count = 0
+			}
+		}
+	}
+	can := 0.25 + 0.75/2
+	if share := float64(used) / float64(sessions); share > can || share < can/2 {
+		t.Errorf("%.2f of the sessions go to a server that can do %.2f", share, can)
+	}
+	r, _ := start(t, settings(), fleet())
+	r.set.CanProbe = true
+	r.Servers(time.Minute, ServerList{Servers: []Server{{ID: "r00", Kind: 0, Since: time.Minute}}})
+	for id := range RequestID(50) {
+		q := ask(id)
+		q.Session = mix(uint64(id))
+		if r.mayTry(&request{Request: q, class: &r.set.Classes[0]}, r.servers["r00"]) {
+			t.Fatal("tried by one of a few fronts, which pace by their rates")
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -376,6 +376,14 @@
 	}
 }
 
+// can is what a server can do now against what it can do warm.
+func (r *Router) can(s *server) float64 {
+	if r.warm(s) {
+		return 1
+	}
+	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, float64(r.now-s.Since)/float64(r.set.ColdFor))
+}
+
 // distance orders servers by how far a state goes to them.
 func distance(to, from *server) int {
 	switch {
