--- a/decide/decide.go
+++ b/decide/decide.go
@@ -209,7 +209,7 @@
 	left := min(aim-(r.now-p.arrived), p.deadline-r.now)
 	match, _ := s.prefixes.match(&p.Request, r.now)
 	most := min(shedAim*aim.Seconds()*r.eager(p, s), left.Seconds())
-	wait := r.wait(s) + r.reading(p.Prompt-match)/r.can(s)
+	wait := r.wait(s) + r.reading(p.Prompt-match)
 	p.back = seconds(max(backLeast.Seconds(), wait-most))
 	if s.out > 0 || wait <= most {
 		return wait > most
@@ -348,9 +348,9 @@
 	switch {
 	case s == nil || math.IsInf(l.Tokens, 1) || math.IsInf(l.Queue, 1):
 	case l.Tokens >= 0:
-		s.told, s.toldAt = r.perToken*l.Tokens/r.can(s), now
+		s.told, s.toldAt = r.perToken*l.Tokens, now
 	case l.Queue >= 0:
-		s.told, s.toldAt = r.perToken*l.Queue*max(tokenLeast, r.fresh.value)/r.can(s), now
+		s.told, s.toldAt = r.perToken*l.Queue*tokenLeast, now
 	default:
 		s.probedAt = 0 // it has answered
 	}
@@ -724,7 +724,7 @@
 	reading := 0.0
 	if p.holder == nil {
 		match, _ := s.prefixes.match(&p.Request, r.now)
-		reading = r.reading(p.Prompt-match) / r.can(s)
+		reading = r.reading(p.Prompt - match)
 	}
 	usual := r.kinds[s.Kind].wait.value
 	return seconds(silenceAim*r.aim(p).Seconds() + silenceWait*usual + silenceRead*reading)
@@ -739,6 +739,9 @@
 	r.perToken += weight * (perToken - r.perToken)
 }
 
+// reading is the time that an unhindered read of so many new tokens takes.
+func (r *Router) reading(tokens int) float64 { return r.perToken * float64(max(0, tokens)) }
+
 // aim is the time within which p's first token is wanted.
 func (r *Router) aim(p *request) time.Duration {
 	return p.class.Aim + time.Duration(float64(p.class.AimPer1000)*float64(p.Prompt)/1000)
@@ -907,7 +910,6 @@
 	switch o.Status {
 	case Read:
 		r.learnPace(o.Took.Seconds() / float64(max(tokenLeast, p.Prompt-o.Kept)))
-		r.fresh.add(float64(p.Prompt-o.Kept), r.now)
 		r.well(s, o.Took.Seconds()-r.reading(p.Prompt-o.Kept))
 		delete(s.full, p.party())
 		s.passed = max(s.passed, a.at)
--- a/decide/state.go
+++ b/decide/state.go
@@ -31,7 +31,6 @@
 	held     [Mixed + 1]int     // own tokens under way there
 	streams  [Mixed + 1]int     // own attempts that hold them
 	perToken float64            // seconds that an unhindered read takes for a token that is not kept
-	fresh    mean               // tokens of a prompt that had to be read
 	near     mean               // time to the first token in the cell of the state
 	moves    mean               // of both
 	far      mean               // and out of it
@@ -377,9 +376,6 @@
 	}
 }
 
-// reading is the time that an unhindered read of so many new tokens takes.
-func (r *Router) reading(tokens int) float64 { return r.perToken * float64(max(0, tokens)) }
-
 // can is what a server can do now against what it can do warm.
 func (r *Router) can(s *server) float64 {
 	if r.warm(s) {
