News of discovery is had within 6 s whatever became of the call before

Cause: the longest wait (5 s) and the limits of a call (6 s for a watch that says nothing, 6 s without a line) each kept under 6 s alone, not together: a call lost in the moment before discovery came back cost 6 s and the wait after it. The wait is now what is left of 4.5 s (2.5 s after SIGHUP) since the last word or the beginning of the call before, jitter included; a watch has 2.5 s to its first line and 3 s from line to line, which come every 2 s. Waits where discovery has no room keep their mean (3.4 s), so calls stay paced.

--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -26,15 +26,20 @@
 	"rowanyard/internal/core"
 )
 
+// Times. A change counts as told newsDue after discovery has it and can be reached, or newsMoved after SIGHUP has named
+// another address, whatever became of the call before. So no call begins later than newsDue less newsSpare after discovery's
+// last word or the beginning of the call before, jitter and that call's own limit included: what is left is for the answer.
 const (
 	pathList      = "/registry/instances"
-	watchAgain    = 200 * time.Millisecond // a watch that ended is asked for again after up to this, doubled ...
-	watchSeldom   = 2 * time.Second        // ... for each that failed since one held, up to this
-	watchEach     = 150 * time.Millisecond // where discovery has no room all routers together ask so often, doubled ...
-	watchMost     = 5 * time.Second        // ... up to this: its news counts as told after 6 s, and asking takes listWait
-	watchMoved    = 3 * time.Second        // or this, at an address that was moved to and has said nothing: 4 s there
-	watchSilent   = 6 * time.Second        // an empty line comes every 2 s
-	listWait      = time.Second            // the whole list comes at once or not at all
+	newsDue       = 6 * time.Second
+	newsMoved     = 4 * time.Second
+	newsSpare     = 1500 * time.Millisecond
+	backoffLeast  = 200 * time.Millisecond  // a watch that ended is asked for again after up to this, doubled ...
+	backoffMost   = 2 * time.Second         // ... for each that failed since one held, up to this
+	backoffEach   = 150 * time.Millisecond  // where discovery has no room all routers together ask so often, doubled likewise
+	watchSilent   = 3 * time.Second         // an empty line comes every 2 s,
+	watchFirst    = 2500 * time.Millisecond // and so does the first
+	listWait      = time.Second             // the whole list comes at once or not at all
 	watchLine     = 4 << 20
 	discoveryDial = time.Second
 )
@@ -113,6 +118,8 @@
 	// Fronts is how many routers share discovery. Set before Follow.
 	Fronts int
 
+	dial func(ctx context.Context, network, addr string) (net.Conn, error) // the network's, but for tests
+
 	mu   sync.Mutex
 	addr string
 	stop context.CancelFunc
@@ -121,7 +128,8 @@
 
 // NewDiscovery returns a Discovery that follows nobody yet and reads lines of so many bytes, 0 = watchLine.
 func NewDiscovery(names Names, c *core.Core, line int, log *slog.Logger) *Discovery {
-	return &Discovery{Names: names, Core: c, Log: log, Line: line, told: make(chan struct{})}
+	return &Discovery{Names: names, Core: c, Log: log, Line: line, told: make(chan struct{}),
+		dial: (&net.Dialer{Timeout: discoveryDial}).DialContext}
 }
 
 // Told is closed once discovery has told the first line.
@@ -159,20 +167,20 @@
 
 // watch follows addr until ctx ends.
 func (d *Discovery) watch(ctx context.Context, addr string, after int64) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
-		DialContext: (&net.Dialer{Timeout: discoveryDial}).DialContext}}
-	turn := max(watchAgain, watchEach*time.Duration(d.Fronts))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dial}}
+	turn := max(backoffLeast, backoffEach*time.Duration(d.Fronts))
 	for failed := 0; ; {
 		begun := time.Now()
-		err := d.watchOnce(ctx, client, addr, &after)
-		if time.Since(begun) > watchSilent { // it has held for a while
+		word := begun // discovery's last, or when this call for one began
+		err := d.watchOnce(ctx, client, addr, &after, &word)
+		if time.Since(begun) > newsDue { // it has held for a while
 			failed = 0
 		}
-		most := watchMost
+		due := newsDue
 		if after == wholeList {
-			most = watchMoved
+			due = newsMoved
 		}
-		pause := pauseAfter(err, failed, turn, most)
+		pause := backoff(err, failed, turn, due-newsSpare-time.Since(word))
 		failed++
 		if ctx.Err() == nil {
 			d.Log.Warn("watch ended", "addr", addr, "seq", after, "again_ms", pause.Milliseconds(), "err", err)
@@ -193,25 +201,31 @@
 
 func (e notNow) Error() string { return fmt.Sprintf("status %d", e.status) }
 
-// pauseAfter is how long to wait after so many failures before this one. turn is the time in which each of
+// backoff is how long to wait after so many failures before this one, with jitter. turn is the time in which each of
 // all routers may ask once, most the longest wait. Guards discovery against routers that all ask again at once,
 // and again: where it has no room it must get less to do, not more, or it never catches up. And guards the rule
 // on drains against waits after which news that was not asked for counts as told.
-func pauseAfter(err error, failed int, turn, most time.Duration) time.Duration {
+func backoff(err error, failed int, turn, most time.Duration) time.Duration {
 	var busy notNow
+	var wait time.Duration
 	switch {
 	case errors.As(err, &busy) && busy.after > 0:
-		return min(busy.after+rand.N(turn), most/2+rand.N(most/2))
+		wait = busy.after + rand.N(turn)
 	case errors.As(err, &busy), errors.Is(err, syscall.ECONNRESET):
-		turn = min(turn<<min(failed, 10), most*2/3)
-		return turn/2 + rand.N(turn)
+		turn <<= min(failed, 10)
+		wait = turn/2 + rand.N(turn)
+	default:
+		seldom := min(backoffLeast<<min(failed, 10), backoffMost)
+		wait = seldom/2 + rand.N(seldom/2)
+	}
+	if most = max(most, backoffLeast); wait > most {
+		wait = most/2 + rand.N(most/2)
 	}
-	most = min(watchAgain<<min(failed, 10), watchSeldom)
-	return most/2 + rand.N(most/2)
+	return wait
 }
 
 // watchOnce follows one watch to its end.
-func (d *Discovery) watchOnce(ctx context.Context, client *http.Client, addr string, after *int64) error {
+func (d *Discovery) watchOnce(ctx context.Context, client *http.Client, addr string, after *int64, word *time.Time) error {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	// Guards against a discovery that keeps the connection open and says nothing.
@@ -219,19 +233,19 @@
 	defer silent.Stop()
 	url := "http://" + addr + pathList
 	if *after == wholeList {
-		if err := d.read(ctx, client, url, silent, after); err != nil {
+		if err := d.read(ctx, client, url, silent, after, word); err != nil {
 			return err
 		}
 	}
-	silent.Reset(watchSilent)
-	if err := d.read(ctx, client, url+"?watch=1&after="+strconv.FormatInt(*after, 10), silent, after); err != nil {
+	silent.Reset(watchFirst)
+	if err := d.read(ctx, client, url+"?watch=1&after="+strconv.FormatInt(*after, 10), silent, after, word); err != nil {
 		return err
 	}
 	return io.ErrUnexpectedEOF
 }
 
 // read takes an answer's lines to its end.
-func (d *Discovery) read(ctx context.Context, client *http.Client, url string, silent *time.Timer, after *int64) error {
+func (d *Discovery) read(ctx context.Context, client *http.Client, url string, silent *time.Timer, after *int64, word *time.Time) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -248,7 +262,7 @@
 		}
 		return notNow{res.StatusCode, time.Duration(after * float64(time.Second))}
 	}
-	values := newLists(res.Body, cmp.Or(d.Line, watchLine), silent)
+	values := newLists(res.Body, cmp.Or(d.Line, watchLine), silent, word)
 	for {
 		text, err := values.next()
 		if errors.Is(err, io.EOF) {
@@ -284,10 +298,11 @@
 	read   int // bytes since the last value ended
 	begun  bool
 	silent *time.Timer
+	word   *time.Time // when the last one ended, or an empty line came
 }
 
-func newLists(from io.Reader, most int, silent *time.Timer) *lists {
-	l := &lists{from: from, most: most, silent: silent}
+func newLists(from io.Reader, most int, silent *time.Timer, word *time.Time) *lists {
+	l := &lists{from: from, most: most, silent: silent, word: word}
 	l.values = json.NewDecoder(l)
 	return l
 }
@@ -300,6 +315,7 @@
 	if err == nil {
 		rest, _ := io.ReadAll(l.values.Buffered()) // the decoder keeps it
 		l.begun = len(bytes.TrimSpace(rest)) > 0
+		*l.word = time.Now()
 		l.sign()
 	}
 	return text, err
@@ -319,6 +335,7 @@
 		l.sign()
 	case n > 0:
 		l.read = 0
+		*l.word = time.Now()
 		l.sign()
 	}
 	return n, err
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -350,28 +350,28 @@
 // asked when it says; else many routers that lost it at once keep it down for good. One that is only away is
 // asked again soon. But no wait may be as long as news takes to count as told, however many routers there are.
 func TestDiscoveryWithoutRoomIsLeftAlone(t *testing.T) {
-	const each = 20 * watchEach
+	const each, most = 20 * backoffEach, newsDue - newsSpare
 	busy := fmt.Errorf("watch: %w", notNow{503, 0})
 	for failed := range 40 {
 		seen, sum := map[time.Duration]bool{}, time.Duration(0)
 		for range 200 {
-			w := pauseAfter(busy, failed, each, watchMost)
+			w := backoff(busy, failed, each, most)
 			seen[w] = true
 			sum += w
 		}
-		if want := min(each<<min(failed, 10), watchMost*2/3); len(seen) < 100 || sum/200 < want*8/10 || sum/200 > want*12/10 {
+		if want := min(each<<min(failed, 10), most*3/4); len(seen) < 100 || sum/200 < want*8/10 || sum/200 > want*12/10 {
 			t.Errorf("after %d failures %v on average at %d times, want %v", failed, sum/200, len(seen), want)
 		}
-		if w := pauseAfter(io.ErrUnexpectedEOF, failed, each, watchMost); w > watchSeldom || failed == 0 && w > watchAgain {
+		if w := backoff(io.ErrUnexpectedEOF, failed, each, most); w > backoffMost || failed == 0 && w > backoffLeast {
 			t.Errorf("away for %d tries: asked again after %v", failed, w)
 		}
 		for _, err := range []error{busy, syscall.ECONNRESET, notNow{503, time.Hour}} {
-			if w := pauseAfter(err, failed, 1000*watchEach, watchMoved); w > watchMoved {
+			if w := backoff(err, failed, 1000*backoffEach, newsMoved-newsSpare); w > newsMoved-newsSpare {
 				t.Errorf("%v, %d failures, 1000 routers: asked again after %v", err, failed, w)
 			}
 		}
 	}
-	if w := pauseAfter(notNow{503, 3 * time.Second}, 0, time.Second, watchMost); w < watchMost/2 || w > 4*time.Second {
+	if w := backoff(notNow{503, 3 * time.Second}, 0, time.Second, most); w < most/2 || w > 4*time.Second {
 		t.Errorf("told to come back in 3 s: %v", w)
 	}
 }
