No attempt begins for a client that has gone, in any state of its request

Causes, each with a test that fails without its mend: - net/http reads one byte ahead to see a close, and sees none behind a byte of another request (clients.go). The socket is looked at right before the first byte of an attempt (Exchange.Left). - the select of a request's life took a chosen attempt before the client's leaving where both were there (core.go). - the transport flushes an attempt's head before its body is asked for, which the last look rested on: it is at the connection's first write now, for drains as well. Found beside it: where settings name no pin limit a state that waited for a writer was given up at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -271,7 +271,7 @@
 			r.send(p, w, false)
 			return
 		}
-		r.hold(p, p.heldAt+time.Duration(pinShare*float64(r.set.PinLimit)))
+		r.hold(p, p.heldAt+time.Duration(pinShare*float64(cmp.Or(r.set.PinLimit, p.TimeLeft))))
 		return
 	}
 	if s := r.pickReader(p); s != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,7 +37,7 @@
 	Read   bool          // at a reader: the first of the two stages
 	Wait   time.Duration // the router stops waiting after so long
 	// Allowed is asked once more right before the first byte is written: a worker may have begun
-	// to drain since it was chosen.
+	// to drain since it was chosen, or the client may have gone.
 	Allowed func() bool
 }
 
@@ -316,7 +316,7 @@
 // call off, states to release, the stream's end) goes on without the caller. ctx is the client:
 // when it ends, the client has gone.
 func (c *Core) Serve(ctx context.Context, q decide.Request, via Carrier) Answer {
-	l := &life{core: c, via: via, arrived: time.Now(), choices: make(chan choice, maxChoices),
+	l := &life{core: c, client: ctx, via: via, arrived: time.Now(), choices: make(chan choice, maxChoices),
 		events: make(chan event, maxChoices), streamEnd: make(chan decide.Status, 1), answer: make(chan Answer, 1)}
 	c.mu.Lock()
 	c.lastID++
@@ -325,7 +325,7 @@
 	c.lives[q.ID] = l
 	c.mu.Unlock()
 	c.running.Add(1)
-	go l.live(ctx)
+	go l.live()
 	return <-l.answer
 }
 
@@ -359,6 +359,7 @@
 type life struct {
 	decide.Request
 	core      *Core
+	client    context.Context // ends when the client has gone
 	via       Carrier
 	arrived   time.Time
 	choices   chan choice        // what the module chose, in order
@@ -420,7 +421,7 @@
 // live is the life of one request, from top to bottom. The module is asked at each choice: when the
 // request comes, at each attempt's first token or end, and by its own timers. Its choices come back
 // on l.choices.
-func (l *life) live(client context.Context) {
+func (l *life) live() {
 	defer l.core.running.Done()
 	defer l.guard()
 	c := l.core
@@ -428,9 +429,16 @@
 	c.tell(func(now time.Duration, r *decide.Router) { r.Request(now, l.Request) })
 	late := time.NewTimer(l.TimeLeft + overdue)
 	defer late.Stop()
-	gone := client.Done()
+	gone := l.client.Done()
 
 	for !l.over() {
+		// Guards against a choice that came in the same instant: nothing is begun for a client that has gone.
+		if gone != nil && l.client.Err() != nil {
+			gone = nil
+			l.clientGone()
+			l.letGo()
+			continue
+		}
 		select {
 		case ch := <-l.choices:
 			switch ch.do {
@@ -450,15 +458,7 @@
 			}
 		case status := <-l.streamEnd:
 			l.streamEnded(status)
-		case <-gone:
-			gone = nil
-			if l.settleAs(Gone) {
-				c.tell(func(now time.Duration, r *decide.Router) { r.Left(now, l.ID) })
-			} else if l.streaming {
-				// Guards against a stream that goes on, or hangs, with nobody to read it.
-				l.left = true
-				l.attempts[l.stream].cancel(errCancelled)
-			}
+		case <-gone: // seen to above
 		case <-late.C:
 			// Guards against a module that leaves a request unanswered: one final answer is owed,
 			// and failing promises nothing.
@@ -471,6 +471,17 @@
 	}
 }
 
+// clientGone ends what the client will not see.
+func (l *life) clientGone() {
+	if l.settleAs(Gone) {
+		l.core.tell(func(now time.Duration, r *decide.Router) { r.Left(now, l.ID) })
+	} else if l.streaming {
+		// Guards against a stream that goes on, or hangs, with nobody to read it.
+		l.left = true
+		l.attempts[l.stream].cancel(errCancelled)
+	}
+}
+
 // over says that nothing is left to do.
 func (l *life) over() bool {
 	return l.answered && l.out == 0 && !l.streaming && !l.held && len(l.choices) == 0
@@ -546,7 +557,7 @@
 	}
 	n := len(l.attempts)
 	a := &attempt{Attempt: Attempt{Number: n, To: w, Wait: wait, Read: l.isRead(w),
-		Allowed: func() bool { return c.Wanted(w.ID) }}, began: time.Now(), out: true}
+		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: time.Now(), out: true}
 	l.attempts = append(l.attempts, a)
 	l.sends.Add(1)
 	l.out++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -308,3 +308,104 @@
 		}
 	}
 }
+
+// nth does something when a message is logged for the nth time.
+type nth struct {
+	slog.Handler
+	message string
+	n       int
+	do      func()
+}
+
+func (h *nth) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == h.message {
+		if h.n--; h.n == 0 {
+			h.do()
+		}
+	}
+	return nil
+}
+
+// A client may go in any state of its request, also in the very instant in which the next attempt is chosen: none begins
+// after that, and what is held is let go.
+func TestNothingIsBegunForAClientThatHasGone(t *testing.T) {
+	reader := Worker{Server: decide.Server{ID: "r", Kind: 0}}
+	writers := []Worker{{Server: decide.Server{ID: "w1", Kind: 1}}, {Server: decide.Server{ID: "w2", Kind: 1}}}
+	all := append([]Worker{reader}, writers...)
+	long := settings
+	long.PinLimit, long.MaxAttempts = 0, 0
+	long.Classes = []decide.Class{{Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1}}
+	full := func(a Attempt) Result {
+		if a.Read {
+			return Result{Status: decide.Read}
+		}
+		return Result{Status: decide.Full}
+	}
+	for name, x := range map[string]struct {
+		tries int      // before the client goes
+		first []Worker // listed before the last of them, and from then on, until it has gone
+		then  []Worker
+		goes  bool // when the last of them has ended and the module has not been told yet
+		out   bool // within the last of them
+		try   func(ctx context.Context, a Attempt) Result
+	}{
+		"before the first attempt":         {tries: 0, first: writers},
+		"between read and write":           {tries: 1, first: all, then: []Worker{reader}, try: func(_ context.Context, a Attempt) Result { return full(a) }},
+		"waiting to try again":             {tries: 2, first: all, then: []Worker{reader}, try: func(_ context.Context, a Attempt) Result { return full(a) }},
+		"in the instant of the write":      {tries: 1, first: all, then: all, goes: true, try: func(_ context.Context, a Attempt) Result { return full(a) }},
+		"in the instant of the second try": {tries: 2, first: all, then: all, goes: true, try: func(_ context.Context, a Attempt) Result { return full(a) }},
+		"while an attempt is out": {tries: 1, first: all, then: all, out: true, try: func(ctx context.Context, _ Attempt) Result {
+			<-ctx.Done()
+			return Result{Status: decide.Cancelled}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range 50 { // a choice and the client's leaving come to one select in any order
+				client, leave := context.WithCancel(context.Background())
+				tried := make(chan struct{}, 100)
+				s := &scripted{}
+				log := slog.DiscardHandler
+				if x.goes {
+					log = &nth{Handler: slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelDebug}), message: "attempt", n: x.tries, do: leave}
+				}
+				c, err := New(long, 1, s, slog.New(log))
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.try = func(ctx context.Context, a Attempt) Result {
+					if a.Number == x.tries-1 {
+						c.SetWorkers(true, x.then)
+						if x.out {
+							leave()
+						}
+					}
+					tried <- struct{}{}
+					return x.try(ctx, a)
+				}
+				c.SetWorkers(true, x.first)
+				done := make(chan Answer, 1)
+				go func() { done <- c.Serve(client, ask(draft, time.Hour), s) }()
+				if !x.goes && !x.out {
+					for range x.tries {
+						<-tried
+					}
+					leave()
+				}
+				if a := <-done; a.Verdict != Gone {
+					t.Fatalf("verdict %d", a.Verdict)
+				}
+				c.SetWorkers(true, all)
+				settled(t, c)
+				s.mu.Lock()
+				if len(s.tries) != x.tries {
+					t.Fatalf("%d attempts, %d before the client went", len(s.tries), x.tries)
+				}
+				if x.tries > 0 && len(s.released) == 0 {
+					t.Fatal("what is held was not let go")
+				}
+				s.mu.Unlock()
+			}
+		})
+	}
+}
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -46,12 +46,13 @@
 	net.Conn
 	open  *atomic.Int64
 	done  atomic.Bool
-	asked atomic.Bool   // a request has been written since the last answer's end
-	ended atomic.Int64  // when that was, Unix time in nanoseconds
-	over  chan struct{} // closed with the connection
-	bad   atomic.Bool   // serves no further use
-	hand  atomic.Bool   // its answer is to go on in another process
-	gift  int           // the socket for that, once Read has returned errHanded
+	asked atomic.Bool                 // a request has been written since the last answer's end
+	may   atomic.Pointer[func() bool] // asked before that is, nil: it may
+	ended atomic.Int64                // when that was, Unix time in nanoseconds
+	over  chan struct{}               // closed with the connection
+	bad   atomic.Bool                 // serves no further use
+	hand  atomic.Bool                 // its answer is to go on in another process
+	gift  int                         // the socket for that, once Read has returned errHanded
 
 	// Owned by Read, which the transport calls from one goroutine.
 	buf   []byte // a head that is not whole yet, or what is to be handed over of it
@@ -82,9 +83,13 @@
 	return c.Conn.Close()
 }
 
-// Write refuses to put a request on a connection where something waits that it could be taken to answer.
+// Write refuses to put a request on a connection where something waits that it could be taken to answer, and one that is
+// not wanted any more: the transport writes the head before it looks at the body.
 func (c *workerConn) Write(p []byte) (int, error) {
 	if !c.asked.Load() {
+		if may := c.may.Swap(nil); may != nil && !(*may)() {
+			return 0, errWithdrawn
+		}
 		if c.bad.Load() || waits(c.Conn) {
 			return 0, errUnsent
 		}
@@ -109,21 +114,36 @@
 
 // waits says whether there is something to read on a connection.
 func waits(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// hungUp says that the other side has ended a connection and nothing waits on it.
+func hungUp(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+}
+
+var errNotPeeked = errors.New("not a socket")
+
+// peek looks for a byte on a connection without taking it; none is an error, or 0 at its end.
+func peek(c net.Conn) (n int, err error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNotPeeked
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	some := false
-	_ = raw.Control(func(fd uintptr) {
+	err = errNotPeeked
+	if gone := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
-	})
-	return some
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); gone != nil {
+		err = gone
+	}
+	return n, err
 }
 
 // Read hands over one answer after the other, each only to its end.
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -31,6 +31,7 @@
 	turnedMost = 16                      // turned away at once, past them new connections wait
 	turnedTime = 200 * time.Millisecond  // to send what is not read before a reset eats the answer
 	headStep   = 2 << 10
+	aheadMost  = maxHead // kept of what comes behind a request before its answer, past it the connection ends with that
 )
 
 // clients is a listener that holds at most so many connections. When they are all taken, a newcomer gets the
@@ -277,14 +278,17 @@
 	state atomic.Int32
 	at    atomic.Int64 // when that began, from epoch
 	half  atomic.Bool  // the body at hand has not come
+	owes  atomic.Bool  // the answer to the request at hand
 	gone  atomic.Bool
 
 	// Owned by Read, which net/http calls one at a time.
 	buf     []byte       // read and not handed over
 	ready   int          // so much of it may be
 	body    int64        // of the request's body still to come
+	chunks  *chunkScan   // of a body whose length is not told
 	plain   bool         // all that comes is handed over: the connection ends with this request
 	refused bool         // nothing more is: a head could not be trusted
+	tooMuch bool         // nothing more is once the answer is out: more came behind the request than is kept
 	heads   atomic.Int32 // that were whole
 }
 
@@ -322,6 +326,7 @@
 	if c, ok := c.(*clientConn); ok {
 		switch state {
 		case http.StateIdle:
+			c.owes.Store(false)
 			c.is(idle)
 		case http.StateActive:
 			c.is(atWork)
@@ -351,7 +356,11 @@
 // closes, and nothing behind it is looked at.
 const unreadable = "x\r\n\r\n"
 
-// Read hands over one head or body after the other, never bytes of both.
+// left says that the client has gone, as far as can be told without waiting.
+func (c *clientConn) left() bool { return hungUp(c.Conn) }
+
+// Read hands over one head or body after the other, never bytes of both, and no head before the answer to the one before:
+// net/http, which reads on to see whether the client leaves, sees no close behind a byte of another request.
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
 		switch {
@@ -377,6 +386,23 @@
 			n, err := c.Conn.Read(p[:min(int64(len(p)), c.body)])
 			c.took(n)
 			return n, err
+		case c.chunks != nil:
+			if len(c.buf) > 0 {
+				c.takeChunks()
+			} else if err := c.fill(); err != nil {
+				return 0, err
+			}
+			continue
+		case c.owes.Load():
+			if err := c.fill(); err != nil {
+				return 0, err
+			}
+			if c.tooMuch = c.tooMuch || len(c.buf) > aheadMost; c.tooMuch {
+				c.buf = nil
+			}
+			continue
+		case c.tooMuch:
+			return 0, io.EOF
 		}
 		if end := headEnd(c.buf); end > 0 {
 			f, ok := requestFraming(c.buf[:end])
@@ -388,25 +414,46 @@
 				c.buf, c.ready, c.refused = []byte(unreadable), len(unreadable), true
 				continue
 			}
-			c.ready, c.body, c.plain = end, f.length, f.chunked
-			c.half.Store(c.body > 0)
+			c.owes.Store(true)
+			c.ready, c.body = end, f.length
+			if f.chunked {
+				c.chunks = &chunkScan{}
+			}
+			c.half.Store(c.body > 0 || f.chunked)
 			continue
 		}
 		if len(c.buf) > maxHead { // net/http answers it with 431
 			c.plain = true
 			continue
 		}
-		if cap(c.buf)-len(c.buf) < headStep/2 {
-			c.buf = append(make([]byte, 0, 2*len(c.buf)+headStep), c.buf...)
-		}
-		n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
-		c.buf = c.buf[:len(c.buf)+n]
-		if err != nil {
+		if err := c.fill(); err != nil {
 			return 0, err
 		}
 	}
 }
 
+// fill reads more into buf.
+func (c *clientConn) fill() error {
+	if cap(c.buf)-len(c.buf) < headStep/2 {
+		c.buf = append(make([]byte, 0, 2*len(c.buf)+headStep), c.buf...)
+	}
+	n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
+	c.buf = c.buf[:len(c.buf)+n]
+	return err
+}
+
+// takeChunks readies what is at hand of a chunked body. One that makes no sense is net/http's to refuse.
+func (c *clientConn) takeChunks() {
+	n, end, err := c.chunks.feed(c.buf)
+	if c.ready = n; err != nil {
+		c.ready, c.plain = len(c.buf), true
+	}
+	if end || err != nil {
+		c.chunks = nil
+		c.half.Store(false)
+	}
+}
+
 // took counts what has come of the body.
 func (c *clientConn) took(n int) {
 	if c.body -= int64(n); c.body == 0 {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -281,7 +281,19 @@
 		f.bodies.Add(-reserved)
 		reserved = 0
 	}
-	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, taken{x, q, http.NewResponseController(w), begun}))
+	here, leave := context.WithCancel(r.Context())
+	defer leave()
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		// Guards against a close that came while the request waited to be read: net/http looks for one beside the handler.
+		x.Left = func() bool {
+			if !c.left() {
+				return false
+			}
+			leave()
+			return true
+		}
+	}
+	r = r.WithContext(context.WithValue(here, exchangeKey{}, taken{x, q, http.NewResponseController(w), begun}))
 	f.proxy.ServeHTTP(w, r)
 }
 
--- /dev/null
+++ b/internal/httpfront/gone_test.go
@@ -0,0 +1,224 @@
+package httpfront
+
+// Clients that close their connection, in every state of it: nothing is begun for them, and what is under way ends.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+)
+
+// holding is a worker that answers nothing. It tells which ids it was sent, and when a connection to it has ended.
+type holding struct {
+	net.Listener
+	mu    sync.Mutex
+	sent  []string
+	came  chan string
+	ended chan struct{}
+}
+
+func newHolding(t *testing.T) *holding {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	h := &holding{Listener: l, came: make(chan string, 1000), ended: make(chan struct{}, 1000)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(c)
+		}
+	}()
+	return h
+}
+
+func (h *holding) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if r.Method != http.MethodPost { // a release
+			io.WriteString(c, "HTTP/1.1 204 X\r\n\r\n")
+			continue
+		}
+		h.mu.Lock()
+		h.sent = append(h.sent, r.Header.Get(headTxn))
+		h.mu.Unlock()
+		h.came <- r.Header.Get(headTxn)
+		in.ReadByte()
+		h.ended <- struct{}{}
+		return
+	}
+}
+
+// patient is a front whose requests wait for the worker for as long as their clients stay.
+func patient(t *testing.T, worker string) (*Front, *core.Core) {
+	t.Helper()
+	w := NewWorkers(time.Minute, 15*time.Second, 2000, quiet)
+	c, err := core.New(decide.Settings{Fronts: 1, Tick: time.Millisecond, CanCancel: true,
+		Kinds:   []decide.Kind{{Role: decide.Reader}, {Role: decide.Writer}},
+		Classes: []decide.Class{{Aim: time.Hour, Deadline: 2 * time.Hour, Worth: 1}}}, 1, w, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetWorkers(true, []core.Worker{{Addr: worker, Server: decide.Server{ID: "r", Kind: 0}}, {Addr: worker, Server: decide.Server{ID: "w", Kind: 1}}})
+	return New(c, w, []string{"chat"}, nil, quiet), c
+}
+
+func patiently(text string) string {
+	return strings.Replace(text, "X-Remaining-Ms: 4800", "X-Remaining-Ms: 3600000", 1)
+}
+
+// A client that closes has gone, whatever bytes wait behind its request: net/http alone sees no close behind a byte of
+// another request, nor behind bytes that nobody reads.
+func TestACloseIsSeenBehindWhateverWaits(t *testing.T) {
+	second := message("second", length(bodyText), bodyText)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(bodyText), bodyText)
+	shut := func(c net.Conn) { c.Close() }
+	for name, x := range map[string]struct {
+		text  string
+		leave func(net.Conn)
+	}{
+		"nothing":                 {message("first", length(bodyText), bodyText), shut},
+		"a request":               {message("first", length(bodyText), bodyText) + second, shut},
+		"half a head":             {message("first", length(bodyText), bodyText) + second[:40], shut},
+		"a byte":                  {message("first", length(bodyText), bodyText) + "P", shut},
+		"half a body":             {message("first", length(bodyText), bodyText) + second[:len(second)-9], shut},
+		"a flood":                 {message("first", length(bodyText), bodyText) + strings.Repeat(second, 200), shut},
+		"noise":                   {message("first", length(bodyText), bodyText) + strings.Repeat("\x00", 1<<20), shut},
+		"chunks":                  {message("first", "Transfer-Encoding: chunked\r\n", chunked), shut},
+		"a request behind chunks": {message("first", "Transfer-Encoding: chunked\r\n", chunked) + second, shut},
+		"a reset":                 {message("first", length(bodyText), bodyText) + second, func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }},
+		"its sending ended":       {message("first", length(bodyText), bodyText), func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }},
+		"its sending ended, more": {message("first", length(bodyText), bodyText) + second, func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHolding(t)
+			f, c := patient(t, h.Addr().String())
+			client := dial(t, listening(t, f, 10), patiently(x.text))
+			select {
+			case <-h.came:
+			case <-time.After(20 * time.Second):
+				t.Fatal("it is not sent")
+			}
+			x.leave(client)
+			select {
+			case <-h.ended:
+			case <-time.After(20 * time.Second): // the attempt would go on for an hour
+				t.Fatal("its attempt goes on")
+			}
+			c.Wait(t.Context())
+			if n := len(h.came); n > 0 {
+				t.Errorf("%d more attempts: %v", n, <-h.came)
+			}
+		})
+	}
+}
+
+// What comes behind a request is kept for its turn; more than is kept ends the connection after the answer, and is never
+// taken for the client's leaving.
+func TestWhatIsBehindWaitsForItsTurn(t *testing.T) {
+	for name, behind := range map[string]string{"a request": message("two", length(bodyText), bodyText), "a flood": strings.Repeat("x", 1<<20)} {
+		answers := []string{"202 X\r\nContent-Length: 2\r\n\r\n{}", "200 X\r\nContent-Length: 10\r\n\r\ndata: {}\n\n"}
+		took := make(chan struct{})
+		w, _ := rawWorker(t, func(n int) string {
+			if n == 0 { // what is behind has been written by then
+				<-took
+			}
+			return "HTTP/1.1 " + answers[n%2]
+		})
+		f, _ := before(t, w)
+		c := dial(t, listening(t, f, 10), message("one", length(bodyText), bodyText)+behind)
+		close(took)
+		in := bufio.NewReader(c)
+		for n := range 2 {
+			res, err := http.ReadResponse(in, nil)
+			if n == 1 && name == "a flood" {
+				if err == nil {
+					t.Errorf("%s: a second answer %v", name, res)
+				}
+				continue
+			}
+			if err != nil {
+				t.Fatalf("%s, %d: %v", name, n, err)
+			}
+			if text, err := io.ReadAll(res.Body); res.StatusCode != 200 || string(text) != "data: {}\n\n" {
+				t.Errorf("%s, %d: %v %q %v", name, n, res, text, err)
+			}
+		}
+	}
+}
+
+// tardy is a listener that hands a connection on once its client has closed it, so often; the rest at once.
+type tardy struct {
+	net.Listener
+	left int
+}
+
+func (l *tardy) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if l.left--; err != nil || l.left < 0 {
+		return c, err
+	}
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	err = raw.Control(func(fd uintptr) { // blocks until the end of what the client sends is here, behind what it has sent
+		_, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 20000)
+	})
+	return c, err
+}
+
+// A busy router finds a request and its client's close at once, some time after both came: nothing is sent for it.
+func TestNothingIsSentForWhoLeftInTheQueue(t *testing.T) {
+	h := newHolding(t)
+	f, c := patient(t, h.Addr().String())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.server.Close() })
+	for i := range 100 {
+		dial(t, l.Addr().String(), patiently(message(fmt.Sprint("gone", i), length(bodyText), bodyText))).Close()
+	}
+	go f.Serve(&tardy{l, 100}, 1000)
+	stays := dial(t, l.Addr().String(), patiently(message("stays", length(bodyText), bodyText)))
+	for id := ""; id != "stays"; {
+		select {
+		case id = <-h.came:
+		case <-time.After(20 * time.Second):
+			t.Fatal("who stays is not served")
+		}
+	}
+	stays.Close()
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	c.Wait(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.sent) != 1 {
+		t.Errorf("%d attempts for clients that had gone: %v", len(h.sent)-1, h.sent)
+	}
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -93,8 +93,10 @@
 	Method, URI string
 	Head        http.Header
 	Body        []byte // what is sent, until Drop
-	mu          sync.Mutex
-	others      []other
+	// Left says that the client has gone, though its request's context may not have ended yet; nil: that tells.
+	Left   func() bool
+	mu     sync.Mutex
+	others []other
 }
 
 // Drop lets go of the body: an answer has begun, and nothing more is sent for the request.
@@ -119,7 +121,7 @@
 	drained atomic.Bool // and has had the last byte
 }
 
-var errWithdrawn = errors.New("the worker drains or is gone")
+var errWithdrawn = errors.New("the worker drains or is gone, or the client is")
 
 func (b *bodyReader) Read(p []byte) (int, error) {
 	b.touched.Store(true)
@@ -141,6 +143,9 @@
 	x.mu.Lock()
 	text, others := x.Body, x.others
 	x.mu.Unlock()
+	if wanted := a.Allowed; x.Left != nil {
+		a.Allowed = func() bool { return !x.Left() && wanted() }
+	}
 	for _, o := range others {
 		if o.wire == a.To.Wire {
 			return o.Try(ctx, a)
@@ -171,6 +176,7 @@
 			idle.Store(int64(i.IdleTime))
 			if c, ok := i.Conn.(*workerConn); ok {
 				conn.Store(c)
+				c.may.Store(&a.Allowed)
 				if i.Reused && !a.Read { // a read has no effect, and nothing of its answer passes on
 					c.settle(ctx, w.after)
 				}
@@ -315,6 +321,11 @@
 
 // call makes a call without a body.
 func (w *Workers) call(ctx context.Context, method string, at core.Worker, path string) ([]byte, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*workerConn); ok { // what an attempt that was never written has left there
+			c.may.Store(nil)
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.Addr+path, nil)
 	if err != nil {
 		return nil, err
