Idle clients take no descriptor that the watch, workers or operators need

Cause: shares rested on the configuration's number alone, and the rest of 15 in 100 was less than what stands outside the shares below some 270. Where the system allows fewer (a limit of 80, 1,024 configured) idle clients took them all: the list was not had for 30 s after discovery's return.

The system's limit counts now, 40 are kept out of the shares, and who needs a descriptor where there is none gets that of a client at which no request is at work. Sizes of 267 and more are as before. Tests: the program under a limit of 80 with 150 idle clients and discovery down (fails without either mend), what frees and what is never closed.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -64,7 +64,8 @@
 	bodiesShare  = 0.12 // of it: what clients' bodies may hold at once, and
 	lineShare    = 0.04 // a line of discovery
 	clientsShare = 0.45 // of the sockets, in equal parts for the fronts that are on
-	workersShare = 0.4  // ... the rest is for discovery, logs, the runtime and those that are turned away
+	workersShare = 0.4  // ... the rest is for discovery, operators, logs, the runtime and those that are turned away:
+	spareFiles   = 40   // no less than this
 	defaultMB    = 192
 	defaultFiles = 1024
 	twoShare     = 0.5                     // of the limits for each of two processes of the router
@@ -199,13 +200,18 @@
 }
 
 func (b budget) clients(part float64) int {
-	return max(1, int(clientsShare*part*b.files)/b.fronts)
+	return max(1, int(clientsShare*b.shared(part))/b.fronts)
+}
+
+// shared is the descriptors that clients and workers have their shares of.
+func (b budget) shared(part float64) float64 {
+	return max(1, min(part*b.files, (part*b.files-spareFiles)/(clientsShare+workersShare)))
 }
 
 // take holds the process to a part of the limits from now on.
 func (b budget) take(part float64) {
 	debug.SetMemoryLimit(int64(memoryShare * part * b.memory))
-	b.workers.Limit(int(workersShare * part * b.files))
+	b.workers.Limit(max(1, int(workersShare*b.shared(part))))
 	b.front.Limit(b.clients(part))
 	b.front.Bodies.Store(int64(bodiesShare * part * b.memory))
 }
@@ -248,6 +254,18 @@
 	}
 }
 
+// descriptors is how many the process may open: what its configuration says, or less where the system allows less.
+func descriptors(asked int) int {
+	if asked <= 0 {
+		asked = defaultFiles
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(asked) {
+		return int(limit.Cur)
+	}
+	return asked
+}
+
 func run(log *slog.Logger) error {
 	// Guards against SIGHUP ending the program; one that comes while another is handled is kept.
 	reload := make(chan os.Signal, 1)
@@ -267,10 +285,7 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
-	files := cfg.Limits.Sockets
-	if files <= 0 {
-		files = defaultFiles
-	}
+	files := descriptors(cfg.Limits.Sockets)
 	workers := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, int(workersShare*float64(files)), log)
 	workers.Resume = site.Resume
 	grpcWorkers := grpcfront.NewWorkers(site.ConnectTimeout, site.ConnIdle)
@@ -349,6 +364,9 @@
 		}
 	}
 	limits.take(1)
+	for _, needs := range []*httpfront.Descriptors{workers.Spare, discovery.Spare} {
+		needs.From(front.Shed)
+	}
 	shared, err := operator.Open(os.Getenv("TMPDIR"), cfg.Name)
 	if err != nil {
 		log.Error("nothing is shared with another process of this router", "err", err)
@@ -375,7 +393,7 @@
 		}
 		defer l.Close()
 		go func() {
-			if err := desk.Serve(l, max(leastCallers, files/callersPart)); err != nil {
+			if err := desk.Serve(discovery.Spare.Listener(l), max(leastCallers, files/callersPart)); err != nil {
 				log.Error("the operators' address is closed", "err", err)
 			}
 		}()
--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -68,11 +68,17 @@
 }
 
 func begin(t *testing.T, config []byte, operator string) *program {
+	t.Helper()
+	return beginAs(t, exec.Command(binary), config, operator)
+}
+
+// beginAs starts the program by another command.
+func beginAs(t *testing.T, cmd *exec.Cmd, config []byte, operator string) *program {
 	t.Helper()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "config.json")
 	os.WriteFile(path, config, 0o600)
-	p := &program{cmd: exec.Command(binary), file: path, lines: make(chan string, 1000)}
+	p := &program{cmd: cmd, file: path, lines: make(chan string, 1000)}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROWANYARD_LOG=info")
 	if operator != "" {
 		file := filepath.Join(dir, "operator.json")
@@ -707,6 +713,105 @@
 	t.Logf("%d kB at most, %d descriptors", peak, len(fds))
 }
 
+// gate is a way to discovery that is silent until it is opened.
+type gate struct {
+	net.Listener
+	open atomic.Bool
+}
+
+func newGate(t *testing.T, to string) *gate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	g := &gate{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if !g.open.Load() {
+					io.Copy(io.Discard, c)
+					return
+				}
+				d, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer d.Close()
+				go func() { io.Copy(d, c); d.Close() }()
+				io.Copy(c, d)
+			}()
+		}
+	}()
+	return g
+}
+
+// Idle clients fill all descriptors that the system gives, fewer than the configuration says, while discovery is down. When
+// it returns its list is had, and workers and operators are reached: idle clients go first, those at work stay.
+func TestIdleClientsTakeNoDescriptorThatIsNeeded(t *testing.T) {
+	const system, clients = 80, 150
+	fleet, err := standin.Start(standin.Options{Readers: 2, Tokens: 40, TokenTime: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	g := newGate(t, fleet.Discovery)
+	t.Setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+	config := bytes.ReplaceAll(fleet.Config("127.0.0.1:0"), []byte(fleet.Discovery), []byte(g.Addr().String()))
+	p := beginAs(t, exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", system, binary)), config, "")
+	p.operators = "http://" + p.line(t, `msg=serving .*front=operator listen=(\S+)`)
+	p.http = "http://" + p.line(t, `msg=serving .*front=http listen=(\S+)`)
+	atWork, err := http.DefaultClient.Do(request(p, "w1", "send-message")) // streams for 4 s
+	if err != nil || atWork.StatusCode != 200 {
+		t.Fatal(atWork, err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var all, begun sync.WaitGroup
+	begun.Add(clients)
+	for i := range clients { // each comes again when it is closed, some after a request
+		all.Go(func() {
+			first := begun.Done
+			for ctx.Err() == nil {
+				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", strings.TrimPrefix(p.http, "http://"))
+				if first(); err == nil {
+					if i%2 == 0 {
+						fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+					}
+					end := context.AfterFunc(ctx, func() { c.Close() })
+					io.Copy(io.Discard, c)
+					end()
+					c.Close()
+				}
+				first = func() {}
+			}
+		})
+	}
+	defer all.Wait()
+	defer stop()
+	begun.Wait()
+	p.line(t, `msg="(full house)"`)
+	fleet.SetHealth("reader-2", "draining")
+	g.open.Store(true)
+	p.line(t, `msg="worker list" .*seq=(2)`)
+	if code := p.call(t, http.MethodGet, "/status"); code != 200 {
+		t.Errorf("operators get %d", code)
+	}
+	if res, err := http.DefaultClient.Do(request(p, "w2", "draft-reply")); err != nil || res.StatusCode != 200 {
+		t.Errorf("who has work among them: %v %v", res, err)
+	}
+	if text, err := io.ReadAll(atWork.Body); err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		t.Errorf("who was at work: %v, %d bytes", err, len(text))
+	}
+	if fds, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid)); len(fds) > system {
+		t.Errorf("%d descriptors", len(fds))
+	}
+}
+
 // As the platform runs it, the program opens the platform's port and nothing else: no further listener, no socket of
 // a name.
 func TestABareRunOpensOnePort(t *testing.T) {
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -83,6 +83,12 @@
 // accept takes the next connection. After leave it takes what has come and closes the socket.
 func (l *clients) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for outOfDescriptors(err) {
+		if made, _ := l.makeRoom(); !made {
+			return nil, err // net/http tries again a little later
+		}
+		c, err = l.Listener.Accept()
+	}
 	if err == nil {
 		return c, nil
 	}
@@ -188,16 +194,30 @@
 			l.mu.Unlock()
 			return x
 		}
-		old, wait := l.victim()
 		l.mu.Unlock()
-		switch {
-		case old == nil && wait == 0:
+		switch made, wait := l.makeRoom(); {
+		case !made && wait == 0:
 			return nil
-		case old == nil:
+		case !made:
 			time.Sleep(wait)
-		case old.half.Load() || old.state.CompareAndSwap(waiting, shed) || old.state.CompareAndSwap(idle, shed):
+		}
+	}
+}
+
+// makeRoom closes the connection that goes first, never one at work. Where there is none yet it says how long until there
+// may be, 0 = none at all.
+func (l *clients) makeRoom() (made bool, wait time.Duration) {
+	for {
+		l.mu.Lock()
+		old, wait := l.victim()
+		l.mu.Unlock()
+		if old == nil {
+			return false, wait
+		}
+		if old.half.Load() || old.state.CompareAndSwap(waiting, shed) || old.state.CompareAndSwap(idle, shed) {
 			old.Close()
 			l.full(&l.closed)
+			return true, 0
 		}
 	}
 }
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -118,7 +118,10 @@
 	// Fronts is how many routers share discovery. Set before Follow.
 	Fronts int
 
-	dial func(ctx context.Context, network, addr string) (net.Conn, error) // the network's, but for tests
+	// Spare is where descriptors come from when there are none left. Not to be replaced.
+	Spare *Descriptors
+
+	dial dialFunc // the network's, but for tests
 
 	mu   sync.Mutex
 	addr string
@@ -128,8 +131,9 @@
 
 // NewDiscovery returns a Discovery that follows nobody yet and reads lines of so many bytes, 0 = watchLine.
 func NewDiscovery(names Names, c *core.Core, line int, log *slog.Logger) *Discovery {
-	return &Discovery{Names: names, Core: c, Log: log, Line: line, told: make(chan struct{}),
-		dial: (&net.Dialer{Timeout: discoveryDial}).DialContext}
+	d := &Discovery{Names: names, Core: c, Log: log, Line: line, told: make(chan struct{}), Spare: &Descriptors{}}
+	d.dial = d.Spare.dialing((&net.Dialer{Timeout: discoveryDial}).DialContext)
+	return d
 }
 
 // Told is closed once discovery has told the first line.
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -45,17 +45,19 @@
 	// Resume says that clients ask for the rest of a stream that broke: one that falls silent is then broken
 	// sooner. Set before use.
 	Resume bool
-	open   atomic.Int64
-	limit  atomic.Int64
-	after  func(time.Duration) <-chan time.Time // time.After, but for tests
+	// Spare is where descriptors come from when there are none left. Not to be replaced.
+	Spare *Descriptors
+	open  atomic.Int64
+	limit atomic.Int64
+	after func(time.Duration) <-chan time.Time // time.After, but for tests
 }
 
 // NewWorkers returns a client that holds at most maxConns connections, none of them idle for as
 // long as the workers' limit.
 func NewWorkers(connectTimeout, connIdle time.Duration, maxConns int, log *slog.Logger) *Workers {
-	w := &Workers{log: log, after: time.After}
+	w := &Workers{log: log, after: time.After, Spare: &Descriptors{}}
 	w.limit.Store(int64(maxConns))
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	dial := w.Spare.dialing((&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext)
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if w.open.Add(1) > w.limit.Load() { // guards the limit of descriptors: idle ones make room
@@ -65,7 +67,7 @@
 					return nil, errTooMany
 				}
 			}
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
 			if err != nil {
 				w.open.Add(-1)
 				return nil, err
