--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/getkin/kin-openapi/openapi3"
@@ -229,6 +231,68 @@
 	}
 }
 
+// Nobody is kept from serving by a discovery that is down, refuses or never ends its first word, whoever else starts: 300
+// processes at once with an old list wait for no more than a part of the 10 s in which nine in ten must be ready.
+func TestReadinessDoesNotWaitForDiscovery(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			begun := time.Now()
+			var all sync.WaitGroup
+			for range 300 {
+				all.Go(func() { await(t.Context(), make(chan struct{}), alone, slog.New(slog.DiscardHandler)) })
+			}
+			all.Wait()
+			if took := time.Since(begun); took > 2*time.Second {
+				t.Errorf("alone %v: ready after %v", alone, took)
+			}
+			told := make(chan struct{})
+			close(told)
+			begun = time.Now()
+			if await(t.Context(), told, alone, slog.New(slog.DiscardHandler)); time.Since(begun) > 0 {
+				t.Errorf("alone %v: waits though discovery has told", alone)
+			}
+		})
+	}
+	for name, way := range map[string]func(c net.Conn){
+		"silent": func(c net.Conn) { io.Copy(io.Discard, c) },
+		"refusing": func(c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 503 X\r\nRetry-After: 3600\r\nContent-Length: 0\r\n\r\n")
+		},
+		"cut":  func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 X\r\nContent-Length: 900\r\n\r\n{\"seq\":9,") },
+		"dead": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet, err := standin.Start(standin.Options{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(fleet.Close)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			if way == nil {
+				l.Close()
+			}
+			go func() {
+				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+					go func() { way(c); c.Close() }()
+				}
+			}()
+			p := begin(t, bytes.ReplaceAll(fleet.Config("127.0.0.1:0"), []byte(fleet.Discovery), []byte(l.Addr().String())), "")
+			p.http = "http://" + p.line(t, `msg=serving .*front=http listen=(\S+)`)
+			if res, err := http.Get(p.http + "/health/ready"); err != nil || res.StatusCode != 200 {
+				t.Errorf("not ready: %v %v", res, err)
+			}
+			if res, err := http.DefaultClient.Do(request(p, "a1", "draft-reply")); err != nil || res.StatusCode != 200 {
+				t.Errorf("not served with the list of before: %v %v", res, err)
+			}
+		})
+	}
+}
+
 // SIGHUP must end neither the program nor what it knows: it moves to the discovery that the file names
 // now, though the environment names the old one, and takes the whole list there. A file that can't be
 // read changes nothing.
--- a/decide/state.go
+++ b/decide/state.go
@@ -428,14 +428,6 @@
 	}
 }
 
-// can is what a server can do now against what it can do warm.
-func (r *Router) can(s *server) float64 {
-	if r.warm(s) {
-		return 1
-	}
-	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, float64(r.now-s.Since)/float64(r.set.ColdFor))
-}
-
 // turn is this front's place among the fronts, evenly spread over 0 to 1, in an order that changes
 // with the server and the round: where each front adds it to a part below one request and rounds
 // down, the whole requests of all come to the sum of the parts.
