Sessions have their own home where what they share is the smaller part of a prompt

The home is hashed from the session now where the beginning is told and under half of the prompt: no constant of a deployment's.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -79,6 +78,7 @@
 	coldEach  = 0.65             // used share of a cold server's budget where fronts have equal parts of it,
 	coldIdle  = 0.7              // ... of which those that use their turns seldom get up to 1/0.7
 	coldShare = 0.9              // used share where its sessions do, that follow the traffic
+	coldAgain = 0.1              // of that for clients that come again
 	coldWide  = 1.5              // a beginning spreads over so many times its part of the servers
 	kinPart   = 0.7              // a kind without a warm server takes this part of what others take
 	ableDoubt = 4.0              // what was taken of those that came tells little until so many have
@@ -101,19 +101,7 @@
 	if err := check(set); err != nil {
 		return nil, fmt.Errorf("decide: %w", err)
 	}
-	r := &Router{set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)),
-		servers: make(map[string]*server), open: make(map[RequestID]*request)}
-	r.kinds, r.asked = make([]kind, len(set.Kinds)), make([]rate, len(set.Tenants))
-	r.cells, r.zones, r.reads.span = make(map[int]*cell), make(map[int]*zone), usualSpan
-	for i := range r.kinds {
-		r.kinds[i].asked.span, r.kinds[i].took.span = usualSpan, usualSpan
-	}
-	for i := range r.asked {
-		r.asked[i].span = shareSpan
-	}
-	for _, c := range set.Classes {
-		r.worth = max(r.worth, c.Worth)
-	}
+	r := newRouter(set, seed, out)
 	if set.MustAsk {
 		out.AskServers(true)
 	}
@@ -186,7 +174,10 @@
 	r.open[q.ID] = p
 	r.out.SetTimer(uint64(q.ID), max(now, p.deadline-answerTicks*r.set.Tick))
 	r.tokens += r.size(p)
-	p.popular = r.begun.part(p.Prefix, r.now)
+	if p.PrefixLen == 0 || 2*p.PrefixLen >= p.Prompt {
+		p.home = p.Prefix
+	}
+	p.popular = r.begun.part(p.home, r.now)
 	p.value = r.value(p)
 	r.next(p)
 }
@@ -483,14 +474,15 @@
 }
 
 // rank applies the design: longest known match, then fewest own in flight, equals in the order
-// hashed from the shared beginning or else the session. In that order all fronts agree, so where
+// hashed from the shared beginning, or else the session, as where the beginning is the smaller part of
+// the prompt: its home would read the rest of them all. In that order all fronts agree, so where
 // it leads a shared beginning is taken for known: the others send it there too. Servers that the
 // valve or slowness closes are passed over while others are not.
 func (r *Router) rank(p *request, of []*server) *server {
 	if len(of) == 0 {
 		return nil
 	}
-	key := cmp.Or(p.Prefix, p.Session, r.rng.Uint64())
+	key := cmp.Or(p.home, p.Session, r.rng.Uint64())
 	for _, s := range of {
 		s.match, _ = s.prefixes.match(&p.Request, r.now)
 		s.order = homeRank(s, key)
@@ -570,13 +562,12 @@
 		r.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 		return slices.MinFunc(all, func(a, b *server) int { return cmp.Compare(a.fill, b.fill) })
 	}
-	if cell := filter(open, func(s *server) bool { return s.Cell == p.holder.Cell }); len(cell) > 0 {
-		return r.lighter(cell)
-	}
-	if zone := filter(open, func(s *server) bool { return s.Zone == p.holder.Zone }); len(zone) > 0 {
-		return r.lighter(zone)
+	for far := range 3 {
+		if near := filter(open, func(s *server) bool { return distance(s, p.holder) <= far }); len(near) > 0 {
+			return r.lighter(near)
+		}
 	}
-	return r.lighter(open)
+	return nil
 }
 
 // linksSlow says that states lately took far longer on their way out of their cell than inside.
@@ -771,7 +762,8 @@
 // rule's budget is for what all fronts send it in any window, and they share nothing. What it can do before
 // the ramp's end is not told beyond what it starts with, so the budget rests on that. A handful of fronts
 // have an equal part each of what warm servers of the kind take, and turns for the rest of a request. Of many
-// none sends it more than one and its own part of that in a window, and all of them only what is open.
+// none sends it more than its own part of that in a window, or one, and all of them only what is open. Where
+// many fronts die their clients come again all at once: few of those go to a cold server.
 func (r *Router) mayWarm(p *request, s *server) bool {
 	if r.warm(s) || r.set.ColdWindow <= 0 {
 		return true
@@ -779,8 +771,11 @@
 	usual := r.took(s.Kind) / max(r.seen(), 0.1) / usualSpan.Seconds() * r.set.ColdWindow.Seconds()
 	if r.many() {
 		most := r.set.ColdMultiple * r.set.ColdFrom * coldShare
-		return r.opens(p, s, most) && !r.jammed(s) && !p.tried(s) &&
-			float64(s.lately(r.now, r.set.ColdWindow)) <= most*usual
+		own := float64(s.lately(r.now, r.set.ColdWindow) + 1)
+		if p.Repeat {
+			most *= coldAgain
+		}
+		return own <= max(1, most*usual) && r.opens(p, s, most) && !r.jammed(s) && !p.tried(s)
 	}
 	room := max(1, r.set.ColdMultiple*coldEach) * r.set.ColdFrom * usual / min(1, max(coldIdle, usual))
 	return float64(s.lately(r.now, r.set.ColdWindow)+1) <= room+r.turn(s, uint64(r.now/r.set.ColdWindow))
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,6 +42,24 @@
 	worth    float64            // the highest worth of a class
 }
 
+// newRouter is a Router that has heard nothing yet.
+func newRouter(set Settings, seed uint64, out Front) *Router {
+	r := &Router{set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)),
+		servers: make(map[string]*server), open: make(map[RequestID]*request)}
+	r.kinds, r.asked = make([]kind, len(set.Kinds)), make([]rate, len(set.Tenants))
+	r.cells, r.zones, r.reads.span = make(map[int]*cell), make(map[int]*zone), usualSpan
+	for i := range r.kinds {
+		r.kinds[i].asked.span, r.kinds[i].took.span = usualSpan, usualSpan
+	}
+	for i := range r.asked {
+		r.asked[i].span = shareSpan
+	}
+	for _, c := range set.Classes {
+		r.worth = max(r.worth, c.Worth)
+	}
+	return r
+}
+
 // kind is what this front knows of all servers of one kind.
 type kind struct {
 	ready int
@@ -180,6 +198,7 @@
 type request struct {
 	Request
 	class    *Class
+	home     uint64  // the beginning that its reader is hashed from, 0: its session is
 	popular  float64 // the part that its beginning has of all requests, as far as is known
 	reader   *server // that read it last
 	value    float64 // worth against the highest there is
