A cancelled call of the decision service ends what the router carries for it

A Choose with read_here went on for its caller's silence (0.25 s), and the router could begin a read of its own in that time. Nothing has been granted by then, so the request ends with the call; the test fails without it.

--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -8,7 +8,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,6 +46,12 @@
 }
 
 func start(t testing.TB, o standin.Options) *bed {
+	t.Helper()
+	return startOn(t, o, terms, slog.New(slog.DiscardHandler))
+}
+
+// startOn is the same on other terms, with what the core logs.
+func startOn(t testing.TB, o standin.Options, terms grant.Terms, coreLog *slog.Logger) *bed {
 	t.Helper()
 	must := func(err error) {
 		t.Helper()
@@ -58,7 +66,7 @@
 	site, err := wire.ParseSite(standin.Settings())
 	must(err)
 	hw := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, 400, log)
-	c, err := core.New(site.Settings, 1, hw, log)
+	c, err := core.New(site.Settings, 1, hw, coreLog)
 	must(err)
 	desk, err := decisions.NewDesk(c, hw, terms, decisions.Seen{}, log)
 	must(err)
@@ -228,6 +236,57 @@
 	b.settled()
 }
 
+// A caller that cancels its call while the router reads for it, or waits to, has gone: the router begins no read any more,
+// whatever silence it would allow a caller that carries its attempts itself.
+func TestACancelledCallEndsWhatTheRouterCarries(t *testing.T) {
+	patient := terms
+	patient.Hold, patient.Drain = time.Hour, 2*time.Hour
+	var lines syncBuffer
+	b := startOn(t, standin.Options{Readers: 1, Writers: 1}, patient, slog.New(slog.NewTextHandler(&lines, nil)))
+	b.list(map[string]bool{"reader-1": true})
+	ctx, cancel := context.WithCancel(b.caller("p1").ctx())
+	asked := make(chan error)
+	go func() {
+		_, err := b.caller("p1").Choose(ctx, &pb.ChooseRequest{Request: "q1", Class: "draft-reply", PromptTokens: 100, ReadHere: true,
+			FirstTokenWithin: durationpb.New(time.Minute), Body: []byte(`{"messages":[{"content":"k"}]}`)})
+		asked <- err
+	}()
+	for b.desk.Over("q1") == nil { // it has come
+		runtime.Gosched()
+	}
+	cancel()
+	wantCode(t, "the call", <-asked, codes.Canceled)
+	for end := time.Now().Add(time.Minute); !strings.Contains(lines.String(), "msg=answer") && time.Now().Before(end); {
+		runtime.Gosched()
+	}
+	b.settled()
+	if text := lines.String(); !strings.Contains(text, "verdict=gone") || strings.Contains(text, "verdict=refused") {
+		t.Errorf("the request went on without its caller: %s", text)
+	}
+	b.list(nil)
+	if n := b.fleet.Calls("read", "q1"); n != 0 {
+		t.Errorf("read %d times for a caller that had gone", n)
+	}
+}
+
+// syncBuffer is a buffer that is written to while it is read.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // A caller that forgets the request: what is held for it ends within 300 ms of its last sign, and 50 ms of the
 // sockets' slack. Compared with a caller that renews, whose state is still held then.
 func TestAForgottenRequestHoldsNothing(t *testing.T) {
--- a/internal/decisions/desk.go
+++ b/internal/decisions/desk.go
@@ -234,6 +234,10 @@
 	case <-t.done:
 	default: // its caller has left; the choice goes on for as long as its silence may last
 		if t.calls == 0 && s.turn == t {
+			// What the router carries itself must not begin for a caller that has gone, and it has been told of nothing yet.
+			if s.readHere && d.table.Latest(s.id) == nil {
+				s.stop(ErrGone)
+			}
 			d.table.Detach(d.now(), s.id)
 			d.tick()
 		}
