What decides in state.go stands in decide.go, records in decide.go in state.go

many, turn, took, able, pick, nearest and distance decide and were outside the files that policy names and the size test counted; the list of servers, probes, corrected prefixes, the pace and the hash of homes are records.

--- a/decide/size_test.go
+++ b/decide/size_test.go
@@ -2,28 +2,39 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"unicode/utf8"
 )
 
-// The module is to be read in one go at night: see docs/design.md.
+// The files that hold decision logic are to be read in one go at night: see docs/design.md. The deploy file names them.
 func TestModuleSize(t *testing.T) {
-	text, err := os.ReadFile("decide.go")
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
+	list := regexp.MustCompile(`(?m)^policy = \[([^\]]*)\]`).FindSubmatch(deploy)
+	if list == nil {
+		t.Fatal("the deploy file names no policy")
+	}
 	lines := 0
-	for i, line := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(line) != "" {
-			lines++
+	for _, name := range regexp.MustCompile(`"([^"]+)"`).FindAllStringSubmatch(string(list[1]), -1) {
+		text, err := os.ReadFile("../" + name[1])
+		if err != nil {
+			t.Fatal(err)
 		}
-		wide := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    "))
-		if wide > 110 {
-			t.Errorf("line %d has %d columns", i+1, wide)
+		for i, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			wide := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    "))
+			if wide > 110 {
+				t.Errorf("%s:%d has %d columns", name[1], i+1, wide)
+			}
 		}
 	}
-	if lines > 940 {
+	if lines > 940 || lines < 100 {
 		t.Errorf("%d lines that are not blank, 940 at most", lines)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -447,27 +447,6 @@
 	}
 }
 
-// turn is this front's place among the fronts, evenly spread over 0 to 1, in an order that changes
-// with the server and the round: where each front adds it to a part below one request and rounds
-// down, the whole requests of all come to the sum of the parts.
-func (r *Router) turn(s *server, round uint64) float64 {
-	_, place := math.Modf(part(homeRank(s, round)) + float64(r.set.Front)/float64(r.set.Fronts))
-	return place
-}
-
-// took is what a warm server of the kind took from this front, older requests for less, as a mean over
-// all of the kind: a front among many sees each server seldom. Where none of the kind is warm, the
-// others of its role tell. Guards against cold servers that nobody dares to use after a release.
-func (r *Router) took(kind int) float64 {
-	took := r.kinds[kind].took.value(r.now)
-	for i := range r.kinds {
-		if r.set.Kinds[i].Role == r.set.Kinds[kind].Role && r.warmOnes(kind) == 0 {
-			took = max(took, kinPart*r.kinds[i].took.value(r.now))
-		}
-	}
-	return took
-}
-
 // seen is how much of what took and came can hold this front has been here for.
 func (r *Router) seen() float64 { return 1 - math.Exp(-float64(r.now-r.began)/float64(usualSpan)) }
 
@@ -489,13 +468,6 @@
 // told says that the load of s is known from a probe.
 func (r *Router) told(s *server) bool { return s.loadAt > 0 && r.now-s.loadAt < probeOld }
 
-// able is what warm servers of s's kind take against the even share of its role, of what is sent, and so what the settings'
-// multiple is of: less than one in a flood, more where few are warm.
-func (r *Router) able(s *server) float64 {
-	sent := r.came[s.role].value(r.now)
-	return max(ableLeast, (float64(r.kinds[s.Kind].peers)*r.took(s.Kind)+ableDoubt)/(sent+ableDoubt))
-}
-
 // goes counts a send to a server of the role, while one of it is warm. What is turned away before it is sent weighs on none.
 func (r *Router) goes(role Role) {
 	if slices.ContainsFunc(r.listed, func(s *server) bool { return s.role == role && r.takes(s) }) {
@@ -509,26 +481,6 @@
 	return (r.cell(reader).reads.value(r.now) + shareDoubt) / (r.reads.value(r.now) + 4*shareDoubt)
 }
 
-// pick is the server at a place from 0 to under 1 in the first so many of them.
-func pick(of []*server, width, place float64) *server {
-	if len(of) == 0 {
-		return nil
-	}
-	return of[int(place*min(max(1, width), float64(len(of))))]
-}
-
-// nearest sorts writers by their distance from a reader, those of its zone only: others need not be reached where the state
-// must be taken at once. Those that are equally far are in the order that is the cell's at all fronts.
-func (r *Router) nearest(reader *server, of []*server) []*server {
-	for _, s := range of {
-		s.order = homeRank(s, mix(uint64(reader.Cell)))
-	}
-	slices.SortFunc(of, func(a, b *server) int {
-		return cmp.Or(distance(a, reader)-distance(b, reader), cmp.Compare(b.order, a.order))
-	})
-	return slices.DeleteFunc(of, func(s *server) bool { return s.Zone != reader.Zone })
-}
-
 // shareDoubt is how many requests less than nothing one must have seen of to tell its part.
 const shareDoubt = 0.4
 
@@ -564,17 +516,68 @@
 	return (seen + shareDoubt) / (t.all.value(now) - 1 + 4*shareDoubt)
 }
 
-// many says that fronts are too many for each to have its part of a cold server: most see it more seldom than
-// once in a window, and what one of them has seen tells nothing of the others.
-func (r *Router) many() bool { return r.alike() < float64(r.set.Fronts) }
+func (r *Router) list(e Server) {
+	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
+		return
+	}
+	s := r.servers[e.ID]
+	if s == nil {
+		s = &server{}
+		r.servers[e.ID] = s
+	}
+	if s.Since != e.Since || s.ID == "" { // a new process: what we knew of the old one is void
+		*s = server{prefixes: newPrefixes(e.ID), out: s.out, tokens: s.tokens, sends: s.sends,
+			asked: s.asked, streams: s.streams}
+		s.asked.span, s.good.span, s.bad.span = usualSpan, rateSpan, rateSpan
+		s.streams.spent.span, s.streams.done.span = slowSpan, slowSpan
+		for i := range len(e.ID) {
+			s.hash = mix(s.hash*31 + uint64(e.ID[i]))
+		}
+	}
+	s.Server, s.role = e, r.set.Kinds[e.Kind].Role
+}
 
-// distance orders servers by how far a state goes to them.
-func distance(to, from *server) int {
+// Probed takes what waits at a server, as the time to read it.
+func (r *Router) Probed(now time.Duration, l Probed) {
+	r.now = now
+	s := r.servers[l.Server]
+	r.toldAt = now
 	switch {
-	case to.Cell == from.Cell:
-		return 0
-	case to.Zone == from.Zone:
-		return 1
+	case s == nil || math.IsInf(l.Tokens, 1) || math.IsInf(l.Queue, 1):
+	case l.Tokens >= 0:
+		s.told, s.toldAt = r.perToken*l.Tokens, now
+	case l.Queue >= 0:
+		s.told, s.toldAt = r.perToken*l.Queue*tokenLeast, now
+	default:
+		s.probedAt = 0 // it has answered
+	}
+	if s != nil && l.Queue >= 0 {
+		s.queue, s.load, s.loadAt = l.Queue, l.Held, now
+	}
+}
+
+// correct takes in how much of a matched prompt was found kept. Guards against pinning sessions
+// to a reader that has lost their prefixes, by a flush, a restart not yet listed or for want of
+// memory: readers too forget the oldest first, so what was sent before the lost one is lost as
+// well, unless it is younger than lostAge: a single loss may be one prefix's own.
+func (t *prefixes) correct(a *attempt, kept int, now time.Duration) {
+	lost := min(a.since, now-lostAge)
+	for float64(kept) < keptShare*float64(a.match) && t.order.Len() > 0 {
+		if t.order.Back().Value.(*prefix).at > lost {
+			return
+		}
+		t.drop()
 	}
-	return 2
 }
+
+// learnPace takes the time of a read for a token. It follows the quick ones: slow ones had to wait.
+func (r *Router) learnPace(perToken float64) {
+	weight := slowWeight
+	if perToken < r.perToken || r.perToken == 0 {
+		weight = waitWeight
+	}
+	r.perToken += weight * (perToken - r.perToken)
+}
+
+// homeRank orders servers for a key alike at every front (rendezvous hashing).
+func homeRank(s *server, key uint64) uint64 { return mix(s.hash ^ mix(key)) }
