--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,6 @@
 package decide
 
-// All decisions of the router. The types of its interface are in api.go, what it keeps and estimates in state.go.
+// All decisions of the router. The types of its interface are in api.go, its records in state.go.
 
 import (
 	"cmp"
