A refusal only where repeats are dropped for as long as a client waits; Wait beside new requests

- mayRefuse called a refusal of a keyed request harmless however short the window for repeats is; its client comes again for the whole of its time and the request would run twice.
The window has to outlast that now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -375,10 +375,18 @@
 	r.letGo(p)
 }
 
-// mayRefuse says whether a client may be told that trying again is harmless.
+// mayRefuse says whether a client may be told that trying again is harmless. Where repeats are dropped for a
+// while that has to last for as long as a client may come again: the class's whole time, and the way there.
 func (r *Router) mayRefuse(p *request) bool {
-	harmless := p.class.Effect == Safe || p.class.Effect == Keyed && p.class.Scope == ScopeAll
-	return harmless || p.ran == nil && !p.waits()
+	if p.class.Effect == Safe || p.ran == nil && !p.waits() {
+		return true
+	}
+	first := p.arrived // of what may have run, at the earliest
+	if p.ran != nil {
+		first = p.ran.at
+	}
+	last := p.arrived + max(p.class.Deadline, p.TimeLeft) + r.set.ConnectTimeout
+	return p.class.Effect == Keyed && p.class.Scope == ScopeAll && last < first+p.class.RepeatWindow
 }
 
 // mayRepeat says whether p may go to s as far as its earlier attempts have had an effect. Its window must
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -294,6 +294,23 @@
 	}
 }
 
+// A refusal invites the client to come again for as long as it waits: where repeats are dropped for less, its request
+// would run twice.
+func TestARefusalIsHarmlessForAsLongAsTheClientWaits(t *testing.T) {
+	for window, end := range map[time.Duration]string{0: "fail 1", 5 * time.Second: "fail 1", 7900 * ms: "fail 1", 8 * time.Second: "refuse 1", 20 * time.Second: "refuse 1"} {
+		set := settings()
+		set.Classes[0].Effect, set.Classes[0].Scope, set.Classes[0].RepeatWindow = Keyed, ScopeAll, window
+		set.MaxAttempts = 2
+		r, f := start(t, set, fleet())
+		r.Request(0, ask(1))
+		r.Outcome(50*ms, Outcome{ID: 1, Server: f.last(), Status: Read, Took: 50 * ms})
+		r.Outcome(100*ms, Outcome{ID: 1, Attempt: 1, Server: f.last(), Status: Reset})
+		if !f.has(end) || f.count("refuse")+f.count("fail") != 1 {
+			t.Errorf("window %v: %v, want %s", window, f.did, end)
+		}
+	}
+}
+
 func TestOutAttemptIsNotRefused(t *testing.T) {
 	set := settings()
 	set.Classes[0].Effect = Unsafe
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,7 +102,8 @@
 	heard   map[string]time.Time // listed workers' latest answers, none where the last attempt met silence
 	banned  map[string]bool      // workers that operators have taken out, listed or not
 	lastID  decide.RequestID
-	running sync.WaitGroup // lives
+	running int           // lives, and releases that go on after theirs
+	idle    chan struct{} // closed when there are none any more, nil: nobody waits
 
 	// Moved is told which workers have begun or ceased to take new work, after each change. Two changes at once may
 	// be told in either order: Wanted says what holds. Set before use.
@@ -323,8 +324,8 @@
 	q.ID = c.lastID
 	l.Request = q
 	c.lives[q.ID] = l
+	c.running++
 	c.mu.Unlock()
-	c.running.Add(1)
 	go l.live()
 	return <-l.answer
 }
@@ -345,16 +346,40 @@
 	return err
 }
 
-// Wait returns when all that requests have left to do is done, or ctx ends.
+// Wait returns when all that requests have left to do is done, or ctx ends. New ones may come meanwhile.
 func (c *Core) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() { c.running.Wait(); close(done) }()
+	c.mu.Lock()
+	if c.running == 0 {
+		c.mu.Unlock()
+		return
+	}
+	if c.idle == nil {
+		c.idle = make(chan struct{})
+	}
+	idle := c.idle
+	c.mu.Unlock()
 	select {
-	case <-done:
+	case <-idle:
 	case <-ctx.Done():
 	}
 }
 
+// begins and ends count what is left to do.
+func (c *Core) begins() {
+	c.mu.Lock()
+	c.running++
+	c.mu.Unlock()
+}
+
+func (c *Core) ends() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running--; c.running == 0 && c.idle != nil {
+		close(c.idle)
+		c.idle = nil
+	}
+}
+
 // life is one request from its arrival until nothing is left to do for it.
 type life struct {
 	decide.Request
@@ -422,7 +447,7 @@
 // request comes, at each attempt's first token or end, and by its own timers. Its choices come back
 // on l.choices.
 func (l *life) live() {
-	defer l.core.running.Done()
+	defer l.core.ends()
 	defer l.guard()
 	c := l.core
 
@@ -698,7 +723,7 @@
 		return
 	}
 	sends := l.sends.Load()
-	l.core.running.Add(1)
+	l.core.begins()
 	go l.core.release(l, l.reader, l.unknown, func() bool { return l.sends.Load() == sends })
 	l.held, l.unknown, l.waiting = false, false, false
 }
@@ -719,7 +744,7 @@
 // of a read is unknown it is done once more a little later: the state may appear just after the first call.
 // still says that the request has not been sent again meanwhile, which would give it a state that is wanted.
 func (c *Core) release(l *life, first Worker, unknown bool, still func() bool) {
-	defer c.running.Done()
+	defer c.ends()
 	ok := c.releaseOnce(l, first, still)
 	if unknown {
 		time.Sleep(releaseAgain)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -301,7 +301,7 @@
 		}
 		c.SetWorkers(false, all)
 		c.hears("far7", heard)
-		c.running.Add(1)
+		c.begins()
 		c.release(&life{core: c, via: s}, Worker{Server: decide.Server{ID: "r"}}, false, func() bool { return true })
 		if !slices.Equal(s.released, []string{want}) {
 			t.Errorf("taken by %v, want %s", s.released, want)
@@ -409,3 +409,25 @@
 		})
 	}
 }
+
+// Wait may be called while requests still come: what came before it has ended when it returns, and it never misses the end.
+func TestWaitWhileRequestsCome(t *testing.T) {
+	s := &scripted{try: func(context.Context, Attempt) Result { return Result{Status: decide.Full} }}
+	c := started(t, s, "w")
+	c.SetWorkers(true, nil)
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 20 {
+				c.Serve(t.Context(), ask(draft, 10*time.Millisecond), s)
+			}
+		})
+		all.Go(func() {
+			for range 20 {
+				c.Wait(t.Context())
+			}
+		})
+	}
+	all.Wait()
+	settled(t, c)
+}
