A request on a connection that was just closed is not sent on

A closed connection counts as left now, right before the first byte of any attempt, and whoever settles the body's end first decides.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -163,8 +163,8 @@
 	var old []*clientConn
 	for c := range l.conns {
 		switch kind := int(c.state.Load()); {
-		case kind == atWork && c.half.Load(): // a body that has stopped
-			if time.Since(epoch)-time.Duration(c.at.Load()) > halfMin {
+		case kind == atWork && time.Since(epoch)-time.Duration(c.at.Load()) > halfMin:
+			if c.half.CompareAndSwap(true, false) { // a body that has stopped
 				old = append(old, c)
 			}
 		case (kind == waiting || kind == idle) && c.state.CompareAndSwap(int32(kind), shed):
@@ -214,7 +214,7 @@
 		if old == nil {
 			return false, wait
 		}
-		if old.half.Load() || old.state.CompareAndSwap(waiting, shed) || old.state.CompareAndSwap(idle, shed) {
+		if old.half.CompareAndSwap(true, false) || old.state.CompareAndSwap(waiting, shed) || old.state.CompareAndSwap(idle, shed) {
 			old.Close()
 			l.full(&l.closed)
 			return true, 0
@@ -297,7 +297,7 @@
 	since time.Time
 	state atomic.Int32
 	at    atomic.Int64 // when that began, from epoch
-	half  atomic.Bool  // the body at hand has not come
+	half  atomic.Bool  // the body at hand has not come; whoever makes it false settles whether the request is served
 	owes  atomic.Bool  // the answer to the request at hand
 	gone  atomic.Bool
 
@@ -376,8 +376,10 @@
 // closes, and nothing behind it is looked at.
 const unreadable = "x\r\n\r\n"
 
-// left says that the client has gone, as far as can be told without waiting.
-func (c *clientConn) left() bool { return hungUp(c.Conn) }
+// left says that the client has gone, as far as can be told without waiting, or that its connection was closed under a
+// request that had just come: net/http calls it idle until it has read the head, and serves it all the same. Its client
+// sends it once more.
+func (c *clientConn) left() bool { return c.gone.Load() || hungUp(c.Conn) }
 
 // Read hands over one head or body after the other, never bytes of both, and no head before the answer to the one before:
 // net/http, which reads on to see whether the client leaves, sees no close behind a byte of another request.
@@ -400,15 +402,21 @@
 			return c.Conn.Read(p)
 		case len(c.buf) > 0 && c.body > 0:
 			c.ready = int(min(c.body, int64(len(c.buf))))
-			c.took(c.ready)
+			if !c.took(c.ready) {
+				return 0, net.ErrClosed
+			}
 			continue
 		case c.body > 0:
 			n, err := c.Conn.Read(p[:min(int64(len(p)), c.body)])
-			c.took(n)
+			if !c.took(n) {
+				return 0, net.ErrClosed
+			}
 			return n, err
 		case c.chunks != nil:
 			if len(c.buf) > 0 {
-				c.takeChunks()
+				if !c.takeChunks() {
+					return 0, net.ErrClosed
+				}
 			} else if err := c.fill(); err != nil {
 				return 0, err
 			}
@@ -462,23 +470,26 @@
 	return err
 }
 
-// takeChunks readies what is at hand of a chunked body. One that makes no sense is net/http's to refuse.
-func (c *clientConn) takeChunks() {
+// takeChunks readies what is at hand of a chunked body. One that makes no sense is net/http's to refuse. It says no where
+// the connection was closed for a newcomer before the end came.
+func (c *clientConn) takeChunks() bool {
 	n, end, err := c.chunks.feed(c.buf)
 	if c.ready = n; err != nil {
 		c.ready, c.plain = len(c.buf), true
 	}
 	if end || err != nil {
 		c.chunks = nil
-		c.half.Store(false)
+		return c.half.CompareAndSwap(true, false)
 	}
+	return true
 }
 
-// took counts what has come of the body.
-func (c *clientConn) took(n int) {
-	if c.body -= int64(n); c.body == 0 {
-		c.half.Store(false)
+// took counts what has come of the body. It says no where the connection was closed for a newcomer before the end came.
+func (c *clientConn) took(n int) bool {
+	if c.body -= int64(n); c.body > 0 {
+		return true
 	}
+	return c.half.CompareAndSwap(true, false)
 }
 
 // headEnd is the length of the head at the start of text with the empty line that ends it, 0 where it
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -222,3 +222,48 @@
 		t.Errorf("%d attempts for clients that had gone: %v", len(h.sent)-1, h.sent)
 	}
 }
+
+// A connection that is closed in the moment in which a request comes on it (a shutdown ends idle ones, a newcomer takes the
+// place of one whose body has stopped) counts as left, and the last byte of a body that comes too late ends nothing.
+func TestARequestOnAConnectionThatWasClosedIsNotServed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	held := newClients(l, 4, 0, quiet)
+	accepted := func(text string) *clientConn {
+		dial(t, l.Addr().String(), text)
+		c, err := held.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.(*clientConn)
+	}
+	read := func(c *clientConn, want string) {
+		t.Helper()
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
+			t.Fatalf("%q %v", got, err)
+		}
+	}
+	whole := "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	c := accepted(whole)
+	read(c, whole) // net/http has its head, and still calls the connection idle
+	if c.left() {
+		t.Error("left before anything")
+	}
+	c.Close()
+	if !c.left() {
+		t.Error("closed, and its request would be sent on")
+	}
+	head := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+	c = accepted(head + "body")
+	read(c, head)
+	if !c.half.CompareAndSwap(true, false) { // a newcomer takes its place
+		t.Fatal("its body has not come")
+	}
+	if n, err := c.Read(make([]byte, 9)); err == nil {
+		t.Errorf("%d bytes of a body that ends a request on a connection that is being closed", n)
+	}
+}
