What follows a called-off attempt of a class that must not run twice waits for the way of its close

Ruled out: wrong outcomes (every attempt logged as never run was of the other class), a repeat inside the carrier, the transport's close (it is done before RoundTrip returns). The end of such an attempt is told 10 ms later now; drafts lose no time.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,7 @@
 	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	overdue      = 15 * time.Millisecond  // the core fails what the module has left unanswered for so long
+	closeWay     = 10 * time.Millisecond  // a close has reached its worker after this
 	busyAgain    = 250 * time.Millisecond
 	maxChoices   = 64 // of a request not yet carried out
 )
@@ -613,10 +614,19 @@
 		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), errTimedOut) {
 			res.Status = decide.TimedOut
 		}
+		if l.onlyOnce() && (res.Status == decide.Cancelled || res.Status == decide.TimedOut) {
+			// Guards against a next attempt, or a refusal, that overtakes the close of this one: it would be out still.
+			time.Sleep(closeWay)
+		}
 		l.events <- event{n, res}
 	}()
 }
 
+// onlyOnce says that the request must not run twice.
+func (l *life) onlyOnce() bool {
+	return l.Class >= 0 && l.Class < len(l.core.set.Classes) && l.core.set.Classes[l.Class].Effect == decide.Unsafe
+}
+
 // isRead says whether an attempt at w is the first of two stages.
 func (l *life) isRead(w Worker) bool {
 	return w.Kind >= 0 && w.Kind < len(l.core.set.Kinds) && l.core.set.Kinds[w.Kind].Role == decide.Reader
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rowanyard/decide"
@@ -431,3 +432,31 @@
 	all.Wait()
 	settled(t, c)
 }
+
+// The close of a called-off attempt is on its way while the next attempt may be nearer: for a class that must not run
+// twice the next one, or the final answer, waits for the way of a close. Others lose no time.
+func TestACalledOffAttemptIsOverBeforeTheNext(t *testing.T) {
+	for class, wait := range map[int]time.Duration{draft: 0, message: closeWay} {
+		synctest.Test(t, func(t *testing.T) {
+			var ended, told time.Time
+			s := &scripted{}
+			s.try = func(ctx context.Context, a Attempt) Result {
+				if a.Number > 0 {
+					return Result{Status: decide.Full}
+				}
+				<-ctx.Done()
+				ended = time.Now()
+				return Result{Status: decide.Cancelled}
+			}
+			c := started(t, s, "w")
+			c.SetWorkers(false, []Worker{{Server: decide.Server{ID: "r2", Kind: 0}}})
+			c.log = slog.New(&nth{Handler: slog.NewTextHandler(io.Discard, nil), message: "attempt", n: 1, do: func() { told = time.Now() }})
+			c.Serve(t.Context(), ask(class, 5*time.Second), s)
+			settled(t, c)
+			if got := told.Sub(ended); told.IsZero() || got != wait {
+				t.Errorf("class %d: what follows a called-off attempt is decided %v after its end, want %v", class, got, wait)
+			}
+			time.Sleep(time.Minute) // timers of the module
+		})
+	}
+}
