A called-off attempt that must not run twice ends when its worker was seen to end it

The next attempt, or the refusal, overtakes the close of the one before: two connections have no order between them. At fault: Try's promise to return at once (core.Carrier) and begin's fixed 10 ms after it (closeWay), fitted to one machine.

For a class that must not run twice Try ends its sending and returns when the worker's own end was read. A worker out of reach shows nothing: the limit is the connect timeout of the settings, after which what was written has arrived or never does, at most half of the limit on held states. Other classes close at once. On gRPC, where a reset frame has no answer, a call for the load behind it on the same connection is awaited.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,6 +39,9 @@
 	// Allowed is asked once more right before the first byte is written: a worker may have begun
 	// to drain since it was chosen, or the client may have gone.
 	Allowed func() bool
+	// Settle is how long Try may go on after its context has ended, until the worker was seen to have ended the
+	// attempt too; 0: it returns at once.
+	Settle time.Duration
 }
 
 // Result is how an attempt ended, or that its answer has begun to stream.
@@ -51,7 +54,7 @@
 }
 
 // Carrier carries the attempts of one request. Try blocks until the first token or the end; when
-// its context ends it closes the attempt and returns at once. Its answer then is Cancelled where
+// its context ends it closes the attempt and returns, see Attempt.Settle. Its answer then is Cancelled where
 // the attempt may have reached the worker and Moot or ConnectFailed where it can't have.
 type Carrier interface {
 	Try(ctx context.Context, a Attempt) Result
@@ -137,7 +140,7 @@
 	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	overdue      = 15 * time.Millisecond  // the core fails what the module has left unanswered for so long
-	closeWay     = 10 * time.Millisecond  // a close has reached its worker after this
+	settleMost   = 250 * time.Millisecond // for an attempt's end to be seen, where no connect timeout is set
 	busyAgain    = 250 * time.Millisecond
 	maxChoices   = 64 // of a request not yet carried out
 )
@@ -582,7 +585,7 @@
 		wait = min(wait, ch.timeout)
 	}
 	n := len(l.attempts)
-	a := &attempt{Attempt: Attempt{Number: n, To: w, Wait: wait, Read: l.isRead(w),
+	a := &attempt{Attempt: Attempt{Number: n, To: w, Wait: wait, Read: l.isRead(w), Settle: l.settle(),
 		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: time.Now(), out: true}
 	l.attempts = append(l.attempts, a)
 	l.sends.Add(1)
@@ -614,17 +617,24 @@
 		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), errTimedOut) {
 			res.Status = decide.TimedOut
 		}
-		if l.onlyOnce() && (res.Status == decide.Cancelled || res.Status == decide.TimedOut) {
-			// Guards against a next attempt, or a refusal, that overtakes the close of this one: it would be out still.
-			time.Sleep(closeWay)
-		}
 		l.events <- event{n, res}
 	}()
 }
 
-// onlyOnce says that the request must not run twice.
-func (l *life) onlyOnce() bool {
-	return l.Class >= 0 && l.Class < len(l.core.set.Classes) && l.core.set.Classes[l.Class].Effect == decide.Unsafe
+// settle is how long an attempt that is called off may take to end at its worker. Guards against a next attempt, or a
+// refusal, that overtakes the close of the one before: that is out still, so there are two of a request that must not
+// run twice. A worker in reach shows its end within a round trip. One that is out of reach shows nothing: what was
+// written has reached it after the connect timeout, or never does. What is held meanwhile must still be let go in time.
+func (l *life) settle() time.Duration {
+	set := &l.core.set
+	if l.Class < 0 || l.Class >= len(set.Classes) || set.Classes[l.Class].Effect != decide.Unsafe {
+		return 0
+	}
+	limit := cmp.Or(set.ConnectTimeout, settleMost)
+	if set.PinLimit > 0 {
+		limit = min(limit, set.PinLimit/2)
+	}
+	return limit
 }
 
 // isRead says whether an attempt at w is the first of two stages.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -433,18 +433,24 @@
 	settled(t, c)
 }
 
-// The close of a called-off attempt is on its way while the next attempt may be nearer: for a class that must not run
-// twice the next one, or the final answer, waits for the way of a close. Others lose no time.
+// A called-off attempt of a class that must not run twice may take until its worker was seen to have ended it, within the
+// limits of the settings; nothing follows it before its Try has returned. Others lose no time.
 func TestACalledOffAttemptIsOverBeforeTheNext(t *testing.T) {
-	for class, wait := range map[int]time.Duration{draft: 0, message: closeWay} {
+	const seen = 7 * time.Millisecond // so long the worker takes to end it
+	for class, settle := range map[int]time.Duration{draft: 0, message: settings.PinLimit / 2} {
 		synctest.Test(t, func(t *testing.T) {
-			var ended, told time.Time
+			var ended, told, next time.Time
 			s := &scripted{}
 			s.try = func(ctx context.Context, a Attempt) Result {
+				if a.Settle != settle {
+					t.Errorf("class %d: an attempt may take %v to end, want %v", class, a.Settle, settle)
+				}
 				if a.Number > 0 {
+					next = time.Now()
 					return Result{Status: decide.Full}
 				}
 				<-ctx.Done()
+				time.Sleep(min(a.Settle, seen))
 				ended = time.Now()
 				return Result{Status: decide.Cancelled}
 			}
@@ -453,10 +459,27 @@
 			c.log = slog.New(&nth{Handler: slog.NewTextHandler(io.Discard, nil), message: "attempt", n: 1, do: func() { told = time.Now() }})
 			c.Serve(t.Context(), ask(class, 5*time.Second), s)
 			settled(t, c)
-			if got := told.Sub(ended); told.IsZero() || got != wait {
-				t.Errorf("class %d: what follows a called-off attempt is decided %v after its end, want %v", class, got, wait)
+			if told != ended || next.Before(ended) || ended.IsZero() || next.IsZero() {
+				t.Errorf("class %d: ended %v, told %v, the next began %v", class, ended, told, next)
 			}
 			time.Sleep(time.Minute) // timers of the module
 		})
 	}
 }
+
+// The time to end is bounded by the connect timeout and by what is left of the limit on held states.
+func TestTheTimeToEndAnAttemptIsBounded(t *testing.T) {
+	for _, c := range []struct{ connect, pin, want time.Duration }{
+		{100 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond},
+		{250 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond},
+		{250 * time.Millisecond, 0, 250 * time.Millisecond},
+		{0, 0, settleMost},
+	} {
+		set := settings
+		set.ConnectTimeout, set.PinLimit = c.connect, c.pin
+		l := &life{core: &Core{set: set}, Request: decide.Request{Class: message}}
+		if got := l.settle(); got != c.want {
+			t.Errorf("connect timeout %v, limit on held states %v: %v, want %v", c.connect, c.pin, got, c.want)
+		}
+	}
+}
--- a/internal/grpcfront/workers.go
+++ b/internal/grpcfront/workers.go
@@ -162,20 +162,20 @@
 	msg := &pb.WorkRequest{Request: x.req, Wait: durationpb.New(a.Wait)}
 	if err := call.SendMsg(msg); err != nil {
 		// An error here is io.EOF where the server has ended the call, by then it may have run.
-		return x.failure(ctx, stop, call, call.RecvMsg(&pb.Chunk{}))
+		return x.failure(ctx, a, stop, call, call.RecvMsg(&pb.Chunk{}))
 	}
 	_ = call.CloseSend()
 	if read {
 		var reply pb.ReadReply
 		if err := call.RecvMsg(&reply); err != nil {
-			return x.failure(ctx, stop, call, err)
+			return x.failure(ctx, a, stop, call, err)
 		}
 		stop(nil)
 		return core.Result{Status: decide.Read, Kept: int(min(max(0, reply.CachedTokens), maxTokens))}
 	}
 	first := new(pb.Chunk)
 	if err := call.RecvMsg(first); err != nil {
-		return x.failure(ctx, stop, call, err)
+		return x.failure(ctx, a, stop, call, err)
 	}
 	s := &tokenStream{call: call, first: first, stop: stop}
 	s.stall = time.AfterFunc(time.Hour, func() { cancel(errors.New("the stream fell silent")) })
@@ -184,7 +184,7 @@
 }
 
 // failure names the end of a call whose message may have reached the server.
-func (x *exchange) failure(ctx context.Context, stop context.CancelCauseFunc, call grpc.ClientStream, err error) core.Result {
+func (x *exchange) failure(ctx context.Context, a core.Attempt, stop context.CancelCauseFunc, call grpc.ClientStream, err error) core.Result {
 	called := ctx.Err() != nil
 	stop(nil)
 	res := core.Result{Status: decide.Errored, Err: err}
@@ -196,6 +196,7 @@
 	case away && (code == codes.Unavailable || code == codes.ResourceExhausted):
 		res.Status = decide.Full
 	case called:
+		x.settle(a)
 		res.Status = decide.Cancelled
 	case code == codes.Unavailable || code == codes.Canceled || errors.Is(err, io.EOF):
 		res.Status = decide.Reset
@@ -205,6 +206,17 @@
 	return res
 }
 
+// settle waits until the server has seen the end of a call that was called off: a call that was made behind it on the same
+// connection has been answered, or the connection has ended.
+func (x *exchange) settle(a core.Attempt) {
+	if a.Settle <= 0 {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), a.Settle)
+	defer stop()
+	_, _ = x.workers.Probe(ctx, a.To)
+}
+
 // Release implements core.Carrier.
 func (x *exchange) Release(ctx context.Context, at core.Worker) error {
 	if at.Wire != Wire && x.http != nil {
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -54,6 +55,9 @@
 	hand  atomic.Bool                 // its answer is to go on in another process
 	gift  int                         // the socket for that, once Read has returned errHanded
 
+	serving sync.Mutex
+	serves  *calledOff // the attempt at hand, nil once its answer has ended
+
 	// Owned by Read, which the transport calls from one goroutine.
 	buf   []byte // a head that is not whole yet, or what is to be handed over of it
 	ready int
@@ -293,6 +297,7 @@
 // end ends an answer with so many bytes left behind it.
 func (c *workerConn) end(beyond int) error {
 	c.state = inHead
+	c.serve(nil)
 	c.ended.Store(time.Now().UnixNano())
 	if beyond > 0 {
 		c.buf = c.buf[:c.ready]
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -171,13 +171,14 @@
 	body := &bodyReader{r: bytes.NewReader(text), allowed: a.Allowed}
 	var wrote, broke, reused, came atomic.Bool
 	var idle atomic.Int64
-	var conn atomic.Pointer[workerConn]
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	end := watchCalledOff(ctx, a.Settle, &body.drained, w.after)
+	traced := httptrace.WithClientTrace(end.request, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			reused.Store(i.Reused)
 			idle.Store(int64(i.IdleTime))
 			if c, ok := i.Conn.(*workerConn); ok {
-				conn.Store(c)
+				end.conn.Store(c)
+				c.serve(end)
 				c.may.Store(&a.Allowed)
 				if i.Reused && !a.Read { // a read has no effect, and nothing of its answer passes on
 					c.settle(ctx, w.after)
@@ -192,6 +193,7 @@
 	})
 	req, err := http.NewRequestWithContext(traced, x.Method, "http://"+a.To.Addr+x.URI, body)
 	if err != nil {
+		end.over()
 		return core.Result{Status: decide.Moot, Err: err}, false
 	}
 	req.ContentLength = int64(len(text))
@@ -203,6 +205,7 @@
 	req.Header.Set(headLeft, strconv.FormatInt(max(1, a.Wait.Milliseconds()), 10))
 	res, err := w.transport.RoundTrip(req)
 	if err != nil {
+		end.over()
 		// Whether it may have run turns on the request's last byte. Where the transport has had it
 		// and told nothing of a failed write, it may have been on its way.
 		ran := wrote.Load() || body.drained.Load() && !broke.Load()
@@ -213,7 +216,15 @@
 		// What has begun to answer has fetched the state, whatever it went on with.
 		return core.Result{Status: failure(ctx, err, ran), NoState: !a.Read && ran && (came.Load() || errors.Is(err, errSpoilt)), Err: err}, unsent
 	}
-	return w.answer(ctx, a, res, conn.Load()), false
+	if res.StatusCode == http.StatusOK && !a.Read {
+		if !end.begun() { // nobody will read it
+			res.Body.Close()
+			return core.Result{Status: decide.Cancelled, NoState: true, Err: context.Cause(ctx)}, false
+		}
+		return w.stream(ctx, res, end.conn.Load()), false
+	}
+	defer end.over()
+	return w.answer(ctx, a, res), false
 }
 
 // failure names the end of an attempt without an answer.
@@ -229,18 +240,20 @@
 	return decide.Reset
 }
 
-// answer turns a worker's answer into a result.
-func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response, conn *workerConn) core.Result {
-	if res.StatusCode == http.StatusOK && !a.Read {
-		s := &stream{res: res, conn: conn, resume: w.Resume}
-		s.stall = time.AfterFunc(firstEvent, func() { res.Body.Close() })
-		if err := s.open(); err != nil { // it broke, or makes no sense, before its first event was whole
-			s.Close()
-			return core.Result{Status: failure(ctx, err, true), NoState: true, Err: err}
-		}
-		s.stall.Stop()
-		return core.Result{Stream: s}
+// stream makes a result of an answer that streams, once its first event is whole.
+func (w *Workers) stream(ctx context.Context, res *http.Response, conn *workerConn) core.Result {
+	s := &stream{res: res, conn: conn, resume: w.Resume}
+	s.stall = time.AfterFunc(firstEvent, func() { res.Body.Close() })
+	if err := s.open(); err != nil { // it broke, or makes no sense, before its first event was whole
+		s.Close()
+		return core.Result{Status: failure(ctx, err, true), NoState: true, Err: err}
 	}
+	s.stall.Stop()
+	return core.Result{Stream: s}
+}
+
+// answer turns a worker's answer that is no stream into a result.
+func (w *Workers) answer(ctx context.Context, a core.Attempt, res *http.Response) core.Result {
 	text, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
 	res.Body.Close()
 	if code := res.StatusCode; code != http.StatusAccepted || !a.Read {
