--- a/decide/fair_test.go
+++ b/decide/fair_test.go
@@ -4,6 +4,7 @@
 // prompt, by session. It must never know what one Router decides but by its answers.
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,12 +19,15 @@
 	answered bool
 }
 
-// overload has more come than readers can read for 45 s, in sessions of three turns, of two classes and three tenants, with
-// prompts of very unlike lengths, and returns all requests.
-func overload(t *testing.T, seed uint64) []*asked {
+// overload has more come than readers can read.
+func overload(t *testing.T, seed uint64) []*asked { return loaded(t, seed, 1.25, 40, 12, 40) }
+
+// loaded has so many times what readers can read come for 45 s, in sessions of three turns, of two classes and three tenants,
+// with prompts of very unlike lengths, and returns all requests.
+func loaded(t *testing.T, seed uint64, load float64, fronts, readers, writers int) []*asked {
 	t.Helper()
-	const fronts, readers, long = 40, 12, 45 * time.Second
-	town := newTown(fronts, readers, 40)
+	const long = 45 * time.Second
+	town := newTown(fronts, readers, writers)
 	rng := rand.New(rand.NewPCG(seed, 3))
 	set := &town.set
 	set.ColdFor, town.drops = 0, true
@@ -47,7 +51,7 @@
 		f.open[q.ID], f.asked[q.ID] = true, q
 		f.Request(town.now, q)
 	}
-	rate, sessions := 1.25*readers*toyPlaces/toyRead.Seconds()/3, uint64(0)
+	rate, sessions := load*float64(readers)*toyPlaces/toyRead.Seconds()/3, uint64(0)
 	var next func()
 	next = func() {
 		if town.now >= long {
@@ -79,6 +83,25 @@
 	return answered / float64(max(1, n)), n
 }
 
+// singledOut is the part of the sessions of which all turns were refused, over what chance gives.
+func singledOut(all []*asked, answered float64) float64 {
+	turns, lost := map[uint64]int{}, map[uint64]int{}
+	for _, a := range all {
+		turns[a.Session]++
+		if !a.answered {
+			lost[a.Session]++
+		}
+	}
+	none, chance := 0.0, 0.0
+	for s, n := range turns {
+		if lost[s] == n {
+			none++
+		}
+		chance += math.Pow(1-answered, float64(n))
+	}
+	return (none - chance) / float64(len(turns))
+}
+
 // Under overload everybody bears a part of it: each class, each third of the time, each tenant, the longest prompts, and
 // no session for all its turns more often than chance has it.
 func TestOverloadSinglesNobodyOut(t *testing.T) {
@@ -114,21 +137,7 @@
 					t.Errorf("seed %d, class %d, %s: %.3f answered, %.3f of the class", seed+1, class, name, got, of)
 				}
 			}
-			turns, lost := map[uint64]int{}, map[uint64]int{}
-			for _, a := range mine {
-				turns[a.Session]++
-				if !a.answered {
-					lost[a.Session]++
-				}
-			}
-			none, chance := 0.0, 0.0
-			for s, n := range turns {
-				if lost[s] == n {
-					none++
-				}
-				chance += math.Pow(1-of, float64(n))
-			}
-			if over := (none - chance) / float64(len(turns)); over > 0.12 {
+			if over := singledOut(mine, of); over > 0.12 {
 				t.Errorf("seed %d, class %d: %.3f of its sessions more than chance gives are refused in all turns", seed+1, class, over)
 			} else {
 				t.Logf("seed %d, class %d: %.3f over chance", seed+1, class, over)
@@ -136,3 +145,30 @@
 		}
 	}
 }
+
+// On a quiet day the longest prompts of a class are answered as well as the rest of it but for a third, and no session is
+// refused throughout while there is room, in deployments of any size.
+func TestAQuietDayServesTheLongestPrompts(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 4))
+			fronts, readers, load := 3+int(300*math.Pow(rng.Float64(), 2)), 4+rng.IntN(30), 0.3+0.4*rng.Float64()
+			all := loaded(t, seed, load, fronts, readers, 4*readers)
+			for class := range 2 {
+				mine := slices.DeleteFunc(slices.Clone(all), func(a *asked) bool { return a.Class != class })
+				of, n := share(mine, func(*asked) bool { return true })
+				slices.SortStableFunc(mine, func(a, b *asked) int { return b.Prompt - a.Prompt })
+				tenth := len(mine) / 10
+				longest, _ := share(mine[:tenth], func(*asked) bool { return true })
+				next, _ := share(mine[tenth:3*tenth], func(*asked) bool { return true })
+				over := singledOut(mine, of)
+				text := fmt.Sprintf("%d fronts, %d readers, load %.2f, class %d: %.3f of %d answered, longest tenth %.3f, next fifth %.3f, %.3f of the sessions over chance",
+					fronts, readers, load, class, of, n, longest, next, over)
+				if t.Log(text); longest < 2*of/3 || next < 2*of/3 || over > 0.02 || of < 0.9 {
+					t.Error(text)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -483,3 +483,28 @@
 		}
 	}
 }
+
+// What an attempt tells its worker is no more than what is left to the client then, for the further ones too.
+func TestEachAttemptTellsWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const whole = 3 * time.Second
+		began, told := time.Now(), 0
+		s := &scripted{}
+		s.try = func(_ context.Context, a Attempt) Result {
+			told++
+			if left := whole - time.Since(began); a.Wait > left || a.Wait <= 0 {
+				t.Errorf("attempt %d tells %v where %v is left", a.Number, a.Wait, left)
+			}
+			time.Sleep(400 * time.Millisecond)
+			return Result{Status: decide.Reset}
+		}
+		c := started(t, s, "w")
+		c.SetWorkers(false, []Worker{{Server: decide.Server{ID: "r2", Kind: 0}}, {Server: decide.Server{ID: "r3", Kind: 0}}})
+		c.Serve(t.Context(), ask(draft, whole), s)
+		settled(t, c)
+		if told < 2 {
+			t.Errorf("%d attempts", told)
+		}
+		time.Sleep(time.Minute) // timers of the module
+	})
+}
