Tests: chunks pass one by one on gRPC, four in five of a role fall silent together (known red)

TestEachChunkIsPassedOnAsItComes has a model server write a chunk only after its client had the one before, eight streams. TestFleetWhileFourInFiveOfARoleAreSilent mutes four in five readers or writers for 4 s, three times, under 4 and 80 routers.

--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -61,6 +62,7 @@
 	Server
 	busy  []time.Duration // when each place is free
 	each  time.Duration   // that a request takes warm
+	mute  bool            // it says nothing to what it is sent, and answers no probe
 	sends []time.Duration
 	told  []bool    // of each send: its front had been told of the latest start
 	work  []float64 // of each send: the mean work of its class, against that of all
@@ -223,6 +225,12 @@
 		work = t.size(f.asked[id])
 	}
 	b.sends, b.told, b.work = append(b.sends, t.now), append(b.told, f.born[server] == b.Since), append(b.work, work)
+	if b.mute {
+		t.after(timeout, func() {
+			f.over(t.now, Outcome{ID: id, Attempt: n, Server: server, Status: TimedOut, Took: timeout})
+		})
+		return
+	}
 	began, slot := t.now, 0
 	for i := range b.busy {
 		if b.busy[i] < b.busy[slot] {
@@ -285,7 +293,15 @@
 	}
 }
 
-func (f *front) Cancel(id RequestID, n int)           {}
+// Cancel ends an attempt at a server that says nothing. Others are seen to their end.
+func (f *front) Cancel(id RequestID, n int) {
+	p := f.Router.open[id]
+	if b := f.t.boxes[p.sent[n].server.ID]; b != nil && b.mute {
+		o := Outcome{ID: id, Attempt: n, Server: b.ID, Status: Cancelled, Took: f.t.now - p.sent[n].at}
+		f.t.after(0, func() { f.over(f.t.now, o) })
+	}
+}
+
 func (f *front) Refuse(id RequestID, _ time.Duration) { f.end(id, "refused") }
 func (f *front) Fail(id RequestID)                    { f.end(id, "failed") }
 func (f *front) Release(RequestID)                    {}
@@ -301,7 +317,7 @@
 	t := f.t
 	t.after(3*ms, func() {
 		b := t.boxes[server]
-		if b == nil || f.dead {
+		if b == nil || b.mute || f.dead {
 			return
 		}
 		behind := time.Duration(0)
@@ -408,6 +424,53 @@
 	}
 }
 
+// Four in five servers of one role fall silent together for 4 s, three times, and nobody is told: each request gets its one
+// answer, what is left serves on, and all of it is back soon after.
+func TestFleetWhileFourInFiveOfARoleAreSilent(t *testing.T) {
+	for _, role := range []string{"r", "w"} {
+		for _, fronts := range []int{4, 80} {
+			t.Run(fmt.Sprint(role, fronts), func(t *testing.T) {
+				t.Parallel()
+				const long, pause = 4 * time.Second, 10 * time.Second
+				town := newTown(fronts, 10, 34)
+				for i := range town.fronts {
+					town.boot(i, town.list())
+				}
+				town.load(0.3*10*toyPlaces/toyRead.Seconds(), 60*time.Second)
+				for n := range 3 {
+					silent := func(mute bool) func() {
+						return func() {
+							for i, s := range town.list() {
+								if s.ID[:1] == role && (i+n)%5 > 0 {
+									town.boxes[s.ID].mute = mute
+								}
+							}
+						}
+					}
+					at := 10*time.Second + time.Duration(n)*(long+pause)
+					town.after(at, silent(true))
+					town.after(at+long, silent(false))
+				}
+				served := func(from, until time.Duration) float64 {
+					town.until(from)
+					before, all := maps.Clone(town.ends), 0
+					town.until(until)
+					for how, n := range town.ends {
+						all += n - before[how]
+					}
+					return float64(town.ends["served"]-before["served"]) / float64(max(1, all))
+				}
+				quiet, back := served(5*time.Second, 10*time.Second), served(52*time.Second, 60*time.Second)
+				if t.Logf("%.3f served before, %.3f when all are back", quiet, back); back < quiet-0.03 {
+					t.Errorf("%.3f served before, %.3f when all are back", quiet, back)
+				}
+				town.until(90 * time.Second)
+				town.check(t, role, 0.7)
+			})
+		}
+	}
+}
+
 // Six in ten servers are replaced within 7 s while requests come, and wait for them. No new one is pushed over.
 func TestFleetWhileSixInTenAreReplaced(t *testing.T) {
 	for _, fronts := range []int{80, 300} {
--- /dev/null
+++ b/internal/grpcfront/flush_test.go
@@ -0,0 +1,87 @@
+package grpcfront_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront"
+	"rowanyard/internal/grpcfront/pb"
+	"rowanyard/internal/standin"
+)
+
+// stepWriter streams what a test gives it, chunk by chunk.
+type stepWriter struct {
+	pb.UnimplementedModelServerServer
+	chunks map[string]chan string // by request id
+}
+
+func (s *stepWriter) Write(r *pb.WorkRequest, out grpc.ServerStreamingServer[pb.Chunk]) error {
+	for text := range s.chunks[r.Request.Id] {
+		if err := out.Send(&pb.Chunk{Content: text}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Each chunk reaches its client before the next one comes: the server writes one only after the client has had the one before.
+func TestEachChunkIsPassedOnAsItComes(t *testing.T) {
+	const streams, rounds = 8, 6
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	writer := &stepWriter{chunks: make(map[string]chan string)}
+	server := grpc.NewServer()
+	pb.RegisterModelServerServer(server, writer)
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	r := start(t, standin.Options{GRPC: true})
+	var workers []core.Worker
+	for i, h := range r.fleet.Hosts() {
+		w := core.Worker{Addr: h.Dial, Wire: grpcfront.Wire, Server: decide.Server{ID: h.Host, Kind: i, Cell: 1}}
+		if h.Class == "writer" {
+			w.Addr = l.Addr().String()
+		}
+		workers = append(workers, w)
+	}
+	r.core.SetWorkers(true, workers)
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	requests := make([]*pb.CompleteRequest, streams)
+	for i := range requests {
+		requests[i] = r.request("draft-reply", fmt.Sprint(i), time.Minute)
+		writer.chunks[requests[i].Id] = make(chan string, 1)
+	}
+	var all sync.WaitGroup
+	for _, req := range requests {
+		all.Go(func() {
+			chunks := writer.chunks[req.Id]
+			defer close(chunks)
+			chunks <- "0"
+			call, err := r.grpc.Complete(ctx, req)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			for n := range rounds {
+				if n > 0 {
+					chunks <- fmt.Sprint(n)
+				}
+				if c, err := call.Recv(); err != nil || c.Content != fmt.Sprint(n) {
+					t.Errorf("%v instead of %d: %v", c, n, err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+}
