--- /dev/null
+++ b/internal/core/release.go
@@ -0,0 +1,144 @@
+package core
+
+// This file owns the release of what workers hold for a request that is over, or that has left a state of unknown fate.
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rowanyard/decide"
+)
+
+// Limits of releases.
+const (
+	releaseNext  = 40 * time.Millisecond  // one unanswered for so long is sent to another worker too
+	releaseWait  = 250 * time.Millisecond // and is given up after this
+	releaseTries = 8
+	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
+	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
+)
+
+// letGo releases what may be held for the request while none of its attempts is out: always once
+// it is answered, and before that where a read of unknown fate may have left a state that the
+// module does not know of and nothing has been sent since. Guards the pin limit.
+func (l *life) letGo() {
+	if !l.held || l.out > 0 || len(l.choices) > 0 || !l.answered && (!l.unknown || l.waiting) {
+		return
+	}
+	sends := l.sends.Load()
+	l.core.begins()
+	go l.core.release(l, l.reader, l.unknown, func() bool { return l.sends.Load() == sends })
+	l.held, l.unknown, l.waiting = false, false, false
+}
+
+// hears notes whether a worker has answered.
+func (c *Core) hears(id string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.workers[id]; ok && answered {
+		c.heard[id] = time.Now()
+	} else {
+		delete(c.heard, id)
+	}
+}
+
+// release lets go of all that is held for a request, at any worker that answers. A worker may be
+// dead, silent or cut off, so the next is asked soon, and while the first may still answer. Where the fate
+// of a read is unknown it is done once more a little later: the state may appear just after the first call.
+// still says that the request has not been sent again meanwhile, which would give it a state that is wanted.
+func (c *Core) release(l *life, first Worker, unknown bool, still func() bool) {
+	defer c.ends()
+	ok := c.releaseOnce(l, first, still)
+	if unknown {
+		time.Sleep(releaseAgain)
+		if still() {
+			ok = c.releaseOnce(l, first, still) || ok
+		}
+	}
+	if !ok && still() {
+		c.log.Error("nothing took the release", "id", l.ID)
+	}
+}
+
+// ReleaseAnywhere has call let go of what is held for a request that is over, at one worker after the other until
+// one has answered.
+func (c *Core) ReleaseAnywhere(wait time.Duration, call func(ctx context.Context, at Worker) error) bool {
+	return c.releaseAt(Worker{}, func() bool { return true }, wait, call)
+}
+
+// releaseOnce asks one worker after the other until one has answered.
+func (c *Core) releaseOnce(l *life, first Worker, still func() bool) bool {
+	return c.releaseAt(first, still, releaseWait, func(ctx context.Context, w Worker) error {
+		err := l.via.Release(ctx, w)
+		if err != nil {
+			c.log.Warn("release failed", "id", l.ID, "worker", w.ID, "err", err)
+		}
+		return err
+	})
+}
+
+func (c *Core) releaseAt(first Worker, still func() bool, wait time.Duration, release func(context.Context, Worker) error) bool {
+	all := c.releasers(first)
+	all = all[:min(len(all), releaseTries)]
+	done := make(chan error, len(all))
+	call := func(w Worker) {
+		ctx, stop := context.WithTimeout(context.Background(), wait)
+		defer stop()
+		err := release(ctx, w)
+		c.hears(w.ID, err == nil)
+		done <- err
+	}
+	next := time.NewTicker(releaseNext)
+	defer next.Stop()
+	for asked, out := 0, 0; asked < len(all) && still() || out > 0; {
+		if asked < len(all) && still() {
+			go call(all[asked])
+			asked, out = asked+1, out+1
+		}
+		select {
+		case err := <-done:
+			if out--; err == nil {
+				return true
+			}
+		case <-next.C:
+		}
+	}
+	return false
+}
+
+// releasers lists the workers that a release may be sent to: the one that holds the state, then those that
+// have answered lately, the latest first, then those of this router's zone, then the rest. Guards the pin limit
+// while this zone, or another one, is cut off and most workers can't be reached.
+func (c *Core) releasers(first Worker) []Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []Worker
+	for _, w := range c.workers {
+		if w.State != decide.Gone {
+			all = append(all, w)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	since := time.Now().Add(-heardLately)
+	place := func(w Worker) int {
+		switch {
+		case w.ID == first.ID:
+			return 0
+		case c.heard[w.ID].After(since):
+			return 1
+		case w.Zone == c.set.Zone:
+			return 2
+		}
+		return 3
+	}
+	slices.SortStableFunc(all, func(a, b Worker) int {
+		if byPlace := cmp.Compare(place(a), place(b)); byPlace != 0 || place(a) != 1 {
+			return byPlace
+		}
+		return c.heard[b.ID].Compare(c.heard[a.ID])
+	})
+	return all
+}
