Tests: a list in flight crosses SIGHUP, a first token crosses the end of its attempt's time

Read line by line: the watch on discovery and reload (discovery.go: Follow, watch, watchOnce, read, lists, take), the end of attempts (life.go: begin, settle, firstToken, ended; workers.go: send, answer, stream; answers.go: Write, Read, end). Crossings asked there: SIGHUP and a list in flight, answer and time-out, second answer and reuse, end of an attempt and of its answer, drain told between choice and send, client gone and retry due. The first two had no test that forces the orders. TestAMoveCrossesAListOfTheOldAddress fails without the look at the context in take, TestAFirstTokenCrossesTheEndOfItsTime without begin's answer to a timer that has fired.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -508,3 +508,44 @@
 		time.Sleep(time.Minute) // timers of the module
 	})
 }
+
+// The first token and the end of the attempt's time cross, in each order and in one instant: the client has one answer, and
+// where it is no stream none goes on.
+func TestAFirstTokenCrossesTheEndOfItsTime(t *testing.T) {
+	for _, late := range []time.Duration{-1, 0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			var streams []context.Context
+			s := &scripted{}
+			s.try = func(ctx context.Context, a Attempt) Result {
+				if a.Read {
+					return Result{Status: decide.Read}
+				}
+				time.Sleep(a.Wait + late)
+				streams = append(streams, ctx)
+				return Result{Stream: a.Number}
+			}
+			c := started(t, s, "w")
+			a := c.Serve(t.Context(), ask(message, time.Second), s)
+			switch {
+			case a.Verdict == Streaming && late > 0:
+				t.Errorf("%v late: a stream whose time was up goes on", late)
+			case a.Verdict == Streaming:
+				if streams[0].Err() != nil {
+					t.Errorf("%v late: a stream that was cut goes on", late)
+				}
+				a.Ended(decide.Served)
+			case late < 0:
+				t.Errorf("%v late: verdict %v", late, a.Verdict)
+			case a.Verdict == Refused:
+				t.Errorf("%v late: refused though it has run", late)
+			}
+			settled(t, c)
+			for _, ctx := range streams {
+				if ctx.Err() == nil {
+					t.Errorf("%v late: an attempt is out for ever", late)
+				}
+			}
+			time.Sleep(time.Minute) // timers of the module
+		})
+	}
+}
--- a/internal/httpfront/discovery_test.go
+++ b/internal/httpfront/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -227,3 +228,36 @@
 		t.Error("the change of all was not taken")
 	}
 }
+
+// SIGHUP names another address while a list of the old one is in flight. What was taken before holds until the new one has
+// told; what comes after it changes nothing, however far it had been read.
+func TestAMoveCrossesAListOfTheOldAddress(t *testing.T) {
+	c, _ := core.New(decide.Settings{Fronts: 1, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, quiet)
+	log := &lines{taken: make(chan struct{})}
+	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, slog.New(slog.NewTextHandler(log, nil)))
+	defer d.Close()
+	old, err := parseList([]byte(listed(50, true, "old")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, move := context.WithCancel(t.Context())
+	if err := d.take(before, old); err != nil || !c.Known("old") {
+		t.Fatalf("the old address's list was not taken: %v", err)
+	}
+	m := newMoody(t, says(listed(10, true, "a")), says(listed(11, false, "b")+listed(12, false, "c=draining")))
+	d.mu.Lock()
+	d.addr, d.stop = "old", move
+	d.mu.Unlock()
+	d.Follow(m.Listener.Addr().String(), 50)
+	select {
+	case <-log.taken:
+	case <-time.After(time.Minute):
+		t.Fatalf("not taken: %s", log)
+	}
+	if err := d.take(before, old); err == nil {
+		t.Error("the old address's list was taken after the move")
+	}
+	if c.Known("old") || !c.Known("a") || !c.Known("c") {
+		t.Error("the new address's list is not what holds")
+	}
+}
