--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -427,48 +427,58 @@
 // Four in five servers of one role fall silent together for 4 s, three times, and nobody is told: each request gets its one
 // answer, what is left serves on, and all of it is back soon after.
 func TestFleetWhileFourInFiveOfARoleAreSilent(t *testing.T) {
-	for _, role := range []string{"r", "w"} {
-		for _, fronts := range []int{4, 80} {
-			t.Run(fmt.Sprint(role, fronts), func(t *testing.T) {
-				t.Parallel()
-				const long, pause = 4 * time.Second, 10 * time.Second
-				town := newTown(fronts, 10, 34)
-				for i := range town.fronts {
-					town.boot(i, town.list())
-				}
-				town.load(0.3*10*toyPlaces/toyRead.Seconds(), 60*time.Second)
-				for n := range 3 {
-					silent := func(mute bool) func() {
-						return func() {
-							for i, s := range town.list() {
-								if s.ID[:1] == role && (i+n)%5 > 0 {
-									town.boxes[s.ID].mute = mute
-								}
-							}
-						}
-					}
-					at := 10*time.Second + time.Duration(n)*(long+pause)
-					town.after(at, silent(true))
-					town.after(at+long, silent(false))
-				}
-				served := func(from, until time.Duration) float64 {
-					town.until(from)
-					before, all := maps.Clone(town.ends), 0
-					town.until(until)
-					for how, n := range town.ends {
-						all += n - before[how]
+	for _, c := range []struct {
+		role   string
+		fronts int
+	}{{"r", 4}, {"w", 4}, {"w", 80}} {
+		t.Run(fmt.Sprint(c.role, c.fronts), func(t *testing.T) {
+			t.Parallel()
+			silences(t, c.role, c.fronts)
+		})
+	}
+}
+
+// The same where routers are many and each sends to a reader seldom.
+func TestManyFrontsAfterFourInFiveReadersWereSilent(t *testing.T) { silences(t, "r", 80) }
+
+// silences plays them for the servers of a role, whose ids begin with it.
+func silences(t *testing.T, role string, fronts int) {
+	t.Helper()
+	const long, pause = 4 * time.Second, 10 * time.Second
+	town := newTown(fronts, 10, 34)
+	for i := range town.fronts {
+		town.boot(i, town.list())
+	}
+	town.load(0.3*10*toyPlaces/toyRead.Seconds(), 60*time.Second)
+	for n := range 3 {
+		silent := func(mute bool) func() {
+			return func() {
+				for i, s := range town.list() {
+					if s.ID[:1] == role && (i+n)%5 > 0 {
+						town.boxes[s.ID].mute = mute
 					}
-					return float64(town.ends["served"]-before["served"]) / float64(max(1, all))
-				}
-				quiet, back := served(5*time.Second, 10*time.Second), served(52*time.Second, 60*time.Second)
-				if t.Logf("%.3f served before, %.3f when all are back", quiet, back); back < quiet-0.03 {
-					t.Errorf("%.3f served before, %.3f when all are back", quiet, back)
 				}
-				town.until(90 * time.Second)
-				town.check(t, role, 0.7)
-			})
+			}
 		}
+		at := 10*time.Second + time.Duration(n)*(long+pause)
+		town.after(at, silent(true))
+		town.after(at+long, silent(false))
+	}
+	served := func(from, until time.Duration) float64 {
+		town.until(from)
+		before, all := maps.Clone(town.ends), 0
+		town.until(until)
+		for how, n := range town.ends {
+			all += n - before[how]
+		}
+		return float64(town.ends["served"]-before["served"]) / float64(max(1, all))
+	}
+	quiet, back := served(5*time.Second, 10*time.Second), served(52*time.Second, 60*time.Second)
+	if t.Logf("%.3f served before, %.3f when all are back", quiet, back); back < quiet-0.03 {
+		t.Errorf("%.3f served before, %.3f when all are back", quiet, back)
 	}
+	town.until(90 * time.Second)
+	town.check(t, role, 0.7)
 }
 
 // Six in ten servers are replaced within 7 s while requests come, and wait for them. No new one is pushed over.
