--- a/decide/fair_test.go
+++ b/decide/fair_test.go
@@ -83,6 +83,13 @@
 	return answered / float64(max(1, n)), n
 }
 
+// ofClass lists a class's requests, the longest prompt first.
+func ofClass(all []*asked, class int) []*asked {
+	mine := slices.DeleteFunc(slices.Clone(all), func(a *asked) bool { return a.Class != class })
+	slices.SortStableFunc(mine, func(a, b *asked) int { return b.Prompt - a.Prompt })
+	return mine
+}
+
 // singledOut is the part of the sessions of which all turns were refused, over what chance gives.
 func singledOut(all []*asked, answered float64) float64 {
 	turns, lost := map[uint64]int{}, map[uint64]int{}
@@ -126,9 +133,8 @@
 			}
 		}
 		for class := range 2 {
-			mine := slices.DeleteFunc(slices.Clone(all), func(a *asked) bool { return a.Class != class })
+			mine := ofClass(all, class)
 			of, _ := share(mine, func(*asked) bool { return true })
-			slices.SortStableFunc(mine, func(a, b *asked) int { return b.Prompt - a.Prompt })
 			tenth := len(mine) / 10
 			for name, part := range map[string][]*asked{"longest tenth": mine[:tenth], "next fifth": mine[tenth : 3*tenth]} {
 				got, n := share(part, func(*asked) bool { return true })
@@ -156,9 +162,8 @@
 			fronts, readers, load := 3+int(300*math.Pow(rng.Float64(), 2)), 4+rng.IntN(30), 0.3+0.4*rng.Float64()
 			all := loaded(t, seed, load, fronts, readers, 4*readers)
 			for class := range 2 {
-				mine := slices.DeleteFunc(slices.Clone(all), func(a *asked) bool { return a.Class != class })
+				mine := ofClass(all, class)
 				of, n := share(mine, func(*asked) bool { return true })
-				slices.SortStableFunc(mine, func(a, b *asked) int { return b.Prompt - a.Prompt })
 				tenth := len(mine) / 10
 				longest, _ := share(mine[:tenth], func(*asked) bool { return true })
 				next, _ := share(mine[tenth:3*tenth], func(*asked) bool { return true })
--- a/internal/grpcfront/flush_test.go
+++ b/internal/grpcfront/flush_test.go
@@ -10,9 +10,6 @@
 
 	"google.golang.org/grpc"
 
-	"rowanyard/decide"
-	"rowanyard/internal/core"
-	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/standin"
 )
@@ -45,15 +42,7 @@
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
 	r := start(t, standin.Options{GRPC: true})
-	var workers []core.Worker
-	for i, h := range r.fleet.Hosts() {
-		w := core.Worker{Addr: h.Dial, Wire: grpcfront.Wire, Server: decide.Server{ID: h.Host, Kind: i, Cell: 1}}
-		if h.Class == "writer" {
-			w.Addr = l.Addr().String()
-		}
-		workers = append(workers, w)
-	}
-	r.core.SetWorkers(true, workers)
+	r.writesAt(l.Addr().String())
 	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
 	defer stop()
 	requests := make([]*pb.CompleteRequest, streams)
--- a/internal/grpcfront/front_test.go
+++ b/internal/grpcfront/front_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// writesAt has another server than the fleet's write.
+func (r *router) writesAt(addr string) {
+	var workers []core.Worker
+	for i, h := range r.fleet.Hosts() {
+		w := core.Worker{Addr: h.Dial, Wire: grpcfront.Wire, Server: decide.Server{ID: h.Host, Kind: i, Cell: 1}}
+		if h.Class == "writer" {
+			w.Addr = addr
+		}
+		workers = append(workers, w)
+	}
+	r.core.SetWorkers(true, workers)
+}
+
 // settled waits until nothing is left to do for any request.
 func (r *router) settled(t testing.TB) {
 	t.Helper()
@@ -329,16 +342,7 @@
 		}
 	}()
 	r := start(t, standin.Options{GRPC: true})
-	hosts := r.fleet.Hosts()
-	var bad []core.Worker
-	for i, h := range hosts {
-		w := core.Worker{Addr: h.Dial, Wire: grpcfront.Wire, Server: decide.Server{ID: h.Host, Kind: i, Cell: 1}}
-		if h.Class == "writer" {
-			w.Addr = l.Addr().String()
-		}
-		bad = append(bad, w)
-	}
-	r.core.SetWorkers(true, bad)
+	r.writesAt(l.Addr().String())
 	_, err = r.complete(context.Background(), r.request("send-message", "k", time.Second))
 	if status.Code(err) != codes.Internal || calls.Load() != 1 {
 		t.Errorf("the writer was called %d times: %v", calls.Load(), err)
