The deadline told to a server is what the client has left when the bytes are written

The time of an HTTP request counts from its first byte.

Tests: TestALateConnectionTellsWhatIsLeftThen (HTTP, gRPC), TestTheTimeOnTheWayInCounts, TestAWorkerIsToldLessForASlowClient.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,8 +29,10 @@
 type Attempt struct {
 	Number int
 	To     Worker
-	Read   bool          // at a reader: the first of the two stages
-	Wait   time.Duration // the router stops waiting after so long
+	Read   bool // at a reader: the first of the two stages
+	// Deadline is when the router stops waiting. A carrier tells the worker what is left until then at the moment it
+	// writes, as its connection may have taken long to come up.
+	Deadline time.Time
 	// Allowed is asked once more right before the first byte is written: a worker may have begun
 	// to drain since it was chosen, or the client may have gone.
 	Allowed func() bool
@@ -39,6 +41,9 @@
 	Settle time.Duration
 }
 
+// Remaining is how long the router will wait from now on: never more than the client does.
+func (a Attempt) Remaining() time.Duration { return time.Until(a.Deadline) }
+
 // Result is how an attempt ended, or that its answer has begun to stream.
 type Result struct {
 	Status  decide.Status // 0: the answer has begun, Stream is set
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -492,8 +492,8 @@
 		s := &scripted{}
 		s.try = func(_ context.Context, a Attempt) Result {
 			told++
-			if left := whole - time.Since(began); a.Wait > left || a.Wait <= 0 {
-				t.Errorf("attempt %d tells %v where %v is left", a.Number, a.Wait, left)
+			if left := whole - time.Since(began); a.Remaining() > left || a.Remaining() <= 0 {
+				t.Errorf("attempt %d tells %v where %v is left", a.Number, a.Remaining(), left)
 			}
 			time.Sleep(400 * time.Millisecond)
 			return Result{Status: decide.Reset}
@@ -520,7 +520,7 @@
 				if a.Read {
 					return Result{Status: decide.Read}
 				}
-				time.Sleep(a.Wait + late)
+				time.Sleep(a.Remaining() + late)
 				streams = append(streams, ctx)
 				return Result{Stream: a.Number}
 			}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -224,9 +224,9 @@
 	if ch.timeout > 0 {
 		wait = min(wait, ch.timeout)
 	}
-	n := len(l.attempts)
-	a := &attempt{Attempt: Attempt{Number: n, To: w, Wait: wait, Read: l.isRead(w), Settle: l.settle(),
-		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: time.Now(), out: true}
+	n, now := len(l.attempts), time.Now()
+	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(wait), Read: l.isRead(w), Settle: l.settle(),
+		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: now, out: true}
 	l.attempts = append(l.attempts, a)
 	l.sends.Add(1)
 	l.out++
--- a/internal/grpcfront/calledoff_test.go
+++ b/internal/grpcfront/calledoff_test.go
@@ -54,7 +54,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan core.Result, 1)
 	go func() {
-		done <- x.Try(ctx, core.Attempt{To: core.Worker{Addr: l.Addr().String(), Wire: Wire}, Read: true, Wait: time.Minute,
+		done <- x.Try(ctx, core.Attempt{To: core.Worker{Addr: l.Addr().String(), Wire: Wire}, Read: true, Deadline: time.Now().Add(time.Minute),
 			Settle: time.Minute, Allowed: func() bool { return true }})
 	}()
 	<-s.came
--- /dev/null
+++ b/internal/grpcfront/deadline_test.go
@@ -0,0 +1,56 @@
+package grpcfront
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront/pb"
+)
+
+// waitTeller is a model server that tells the time that it was given for a read.
+type waitTeller struct {
+	pb.UnimplementedModelServerServer
+	told chan time.Duration
+}
+
+func (s *waitTeller) Read(_ context.Context, r *pb.WorkRequest) (*pb.ReadReply, error) {
+	s.told <- r.Wait.AsDuration()
+	return &pb.ReadReply{}, nil
+}
+
+// A server is told the time that is left when the message is written, not when the attempt began: its connection may come
+// up late.
+func TestALateConnectionTellsWhatIsLeftThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const comesUp, wait, pipeSize = 240 * time.Millisecond, time.Second, 64 << 10
+		l := bufconn.Listen(pipeSize)
+		s := &waitTeller{told: make(chan time.Duration, 1)}
+		server := grpc.NewServer()
+		pb.RegisterModelServerServer(server, s)
+		go server.Serve(l)
+		defer server.Stop()
+		w := NewWorkers(time.Second, time.Minute)
+		defer w.Close()
+		w.dialer = func(ctx context.Context, _ string) (net.Conn, error) {
+			time.Sleep(comesUp)
+			return l.DialContext(ctx)
+		}
+		x := &exchange{workers: w, req: &pb.CompleteRequest{Id: "a"}}
+		res := x.Try(t.Context(), core.Attempt{To: core.Worker{Addr: "server:1", Wire: Wire}, Read: true,
+			Deadline: time.Now().Add(wait), Allowed: func() bool { return true }})
+		if res.Status != decide.Read {
+			t.Fatalf("%+v", res)
+		}
+		if got := <-s.told; got != wait-comesUp {
+			t.Errorf("the server was told %v, %v was left", got, wait-comesUp)
+		}
+	})
+}
--- a/internal/grpcfront/workers.go
+++ b/internal/grpcfront/workers.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -38,12 +39,15 @@
 	connKept   = time.Minute // a connection without a call for so long may be closed
 	backoffMin = 100 * time.Millisecond
 	backoffMax = time.Second
+
+	shortestWait = time.Millisecond // that a server is told, where less is left
 )
 
 // Workers holds one connection to each model server that speaks gRPC.
 type Workers struct {
 	connect time.Duration
 	idle    time.Duration
+	dialer  func(ctx context.Context, addr string) (net.Conn, error) // the system's, but for tests
 	mu      sync.Mutex
 	conns   map[string]*server
 }
@@ -57,7 +61,10 @@
 
 // NewWorkers returns a client.
 func NewWorkers(connectTimeout, connIdle time.Duration) *Workers {
-	return &Workers{connect: connectTimeout, idle: time.Duration(idleShare * float64(connIdle)), conns: make(map[string]*server)}
+	return &Workers{connect: connectTimeout, idle: time.Duration(idleShare * float64(connIdle)), conns: make(map[string]*server),
+		dialer: func(ctx context.Context, addr string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr)
+		}}
 }
 
 // Close ends all connections.
@@ -100,6 +107,7 @@
 func (w *Workers) dial(addr string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+addr, // there is no DNS
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(w.dialer),
 		grpc.WithDisableServiceConfig(),
 		// Guards against a second send that nobody decided on. DisableRetry leaves "transparent"
 		// retries on; a call whose message is out is committed, and so never retried, where nothing
@@ -159,7 +167,8 @@
 		stop(nil)
 		return core.Result{Status: decide.Moot, Err: err}
 	}
-	msg := &pb.WorkRequest{Request: x.req, Wait: durationpb.New(a.Wait)}
+	// Only now: the connection may have taken up to the connect timeout to come up.
+	msg := &pb.WorkRequest{Request: x.req, Wait: durationpb.New(max(shortestWait, a.Remaining()))}
 	if err := call.SendMsg(msg); err != nil {
 		// An error here is io.EOF where the server has ended the call, by then it may have run.
 		return x.failure(ctx, a, stop, call, call.RecvMsg(&pb.Chunk{}))
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -300,9 +300,11 @@
 	half  atomic.Bool  // the body at hand has not come; whoever makes it false settles whether the request is served
 	owes  atomic.Bool  // the answer to the request at hand
 	gone  atomic.Bool
+	came  atomic.Int64 // when the first byte of the head at hand had come at the latest, from epoch
 
 	// Owned by Read, which net/http calls one at a time.
 	buf     []byte       // read and not handed over
+	first   time.Time    // when the first byte of it came
 	ready   int          // so much of it may be
 	body    int64        // of the request's body still to come
 	chunks  *chunkScan   // of a body whose length is not told
@@ -327,6 +329,15 @@
 	return time.Now().Add(laterBody)
 }
 
+// onItsWay is how long the request at hand has been on its way in: the time that its client gives it counts from the first
+// byte, however slowly the rest came and whatever it had to wait for.
+func onItsWay(ctx context.Context) time.Duration {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		return time.Since(epoch) - time.Duration(c.came.Load())
+	}
+	return 0
+}
+
 // is notes what the connection does from now on, unless it has been closed for a newcomer.
 func (c *clientConn) is(state int32) bool {
 	c.at.Store(int64(time.Since(epoch)))
@@ -443,6 +454,7 @@
 				continue
 			}
 			c.owes.Store(true)
+			c.came.Store(int64(c.first.Sub(epoch)))
 			c.ready, c.body = end, f.length
 			if f.chunked {
 				c.chunks = &chunkScan{}
@@ -466,6 +478,9 @@
 		c.buf = append(make([]byte, 0, 2*len(c.buf)+headStep), c.buf...)
 	}
 	n, err := c.Conn.Read(c.buf[len(c.buf):cap(c.buf)])
+	if len(c.buf) == 0 {
+		c.first = time.Now()
+	}
 	c.buf = c.buf[:len(c.buf)+n]
 	return err
 }
--- /dev/null
+++ b/internal/httpfront/deadline_test.go
@@ -0,0 +1,125 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+)
+
+// A worker is told the time that is left when the request is written, not when the attempt began: its connection may come
+// up late.
+func TestALateConnectionTellsWhatIsLeftThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const comesUp, wait = 240 * time.Millisecond, time.Second
+		w := NewWorkers(time.Second, 15*time.Second, 10, quiet)
+		defer w.transport.CloseIdleConnections()
+		told := make(chan time.Duration, 1)
+		w.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(comesUp)
+			here, there := net.Pipe()
+			go readerOnce(there, told)
+			return here, nil
+		}
+		x := &Exchange{Workers: w, Method: http.MethodPost, URI: PathChat, Head: head(), Body: []byte(bodyText)}
+		res := x.Try(t.Context(), core.Attempt{To: core.Worker{Addr: "worker:1"}, Read: true,
+			Deadline: time.Now().Add(wait), Allowed: func() bool { return true }})
+		if res.Status != decide.Read {
+			t.Fatalf("%+v", res)
+		}
+		if got := <-told; got != wait-comesUp {
+			t.Errorf("the worker was told %v, %v was left", got, wait-comesUp)
+		}
+	})
+}
+
+// The time that a client gives its request counts from the request's first byte: neither a slow head or body nor a place
+// behind another request makes it longer.
+func TestTheTimeOnTheWayInCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const step = 100 * time.Millisecond
+		here, there := net.Pipe()
+		c := &clientConn{Conn: there, from: &clients{conns: make(map[*clientConn]bool)}}
+		ctx := withConn(t.Context(), c)
+		text := message("one", length(bodyText), bodyText)
+		go func() {
+			defer here.Close()
+			for _, piece := range []string{text[:10], text[10:60], text[60 : len(text)-9], text[len(text)-9:] + text} {
+				io.WriteString(here, piece)
+				time.Sleep(step)
+			}
+		}()
+		in := bufio.NewReaderSize(c, 16)
+		for _, want := range []time.Duration{3 * step, 2 * step} {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Fatal(err)
+			}
+			if got := onItsWay(ctx); got != want {
+				t.Errorf("%v on its way, it was %v", got, want)
+			}
+			peeked := make(chan struct{}) // net/http looks for what is behind while a request is answered
+			go func() {
+				in.Peek(1)
+				close(peeked)
+			}()
+			time.Sleep(2 * step)
+			there.SetReadDeadline(time.Now())
+			<-peeked
+			there.SetReadDeadline(time.Time{})
+			c.owes.Store(false)
+		}
+	})
+}
+
+// What a request's way in took is off the time that its worker is told.
+func TestAWorkerIsToldLessForASlowClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow, aim = 700 * time.Millisecond, time.Second
+		f, c := aimingAt(t, "worker:1", aim)
+		told := make(chan time.Duration, 9)
+		f.workers.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go readerOnce(there, told)
+			return here, nil
+		}
+		conn := &clientConn{}
+		conn.came.Store(int64(time.Since(epoch)))
+		time.Sleep(slow)
+		r := httptest.NewRequest(http.MethodPost, PathChat, strings.NewReader(bodyText)).WithContext(withConn(t.Context(), conn))
+		r.Header = head()
+		r.Header.Set(headLeft, "1000")
+		f.ServeHTTP(httptest.NewRecorder(), r)
+		if got := <-told; got > time.Second-slow {
+			t.Errorf("the worker was told %v, %v was left", got, time.Second-slow)
+		}
+		c.Wait(t.Context())
+		time.Sleep(time.Minute) // timers of the module
+	})
+}
+
+// readerOnce answers one request as a reader and tells the time that it was given.
+func readerOnce(c net.Conn, told chan<- time.Duration) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	left, _ := strconv.Atoi(r.Header.Get(headLeft))
+	told <- time.Duration(left) * time.Millisecond
+	io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\nConnection: close\r\n\r\n{\"cached_tokens\":1}")
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -271,6 +271,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	q.TimeLeft = max(0, q.TimeLeft-onItsWay(r.Context()))
 	q.Kept = f.core.Kept(func() []byte { return Prompt(body) })
 	x := &Exchange{Workers: f.workers, Method: r.Method, URI: r.URL.RequestURI(), Head: r.Header, Body: body}
 	for wire, bridge := range f.Bridges {
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -207,7 +207,7 @@
 			io.WriteString(rw, c.body)
 		}))
 		x := &Exchange{Workers: w, Method: http.MethodPost, URI: "/", Head: head(), Body: []byte(bodyText)}
-		a := core.Attempt{To: core.Worker{Addr: s.Listener.Addr().String()}, Read: c.read, Wait: time.Second, Allowed: func() bool { return true }}
+		a := core.Attempt{To: core.Worker{Addr: s.Listener.Addr().String()}, Read: c.read, Deadline: time.Now().Add(time.Second), Allowed: func() bool { return true }}
 		if res := x.Try(context.Background(), a); res.Status != c.want || res.NoState != c.noState {
 			t.Errorf("%s: %+v", c.name, res)
 		}
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -233,7 +233,7 @@
 
 func attempt(addr string) (*Exchange, core.Attempt) {
 	return &Exchange{Workers: NewWorkers(time.Second, 15*time.Second, 100, quiet), Method: http.MethodPost, URI: PathChat, Head: head(), Body: []byte(bodyText)},
-		core.Attempt{To: core.Worker{Addr: addr}, Wait: time.Minute, Allowed: func() bool { return true }}
+		core.Attempt{To: core.Worker{Addr: addr}, Deadline: time.Now().Add(time.Minute), Allowed: func() bool { return true }}
 }
 
 // What is spoilt before a whole first event is a failed attempt that has fetched the state; a good stream
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -171,6 +171,7 @@
 	body := &bodyReader{r: bytes.NewReader(text), allowed: a.Allowed}
 	var wrote, broke, reused, came atomic.Bool
 	var idle atomic.Int64
+	var attempt atomic.Pointer[http.Request]
 	end := watchCalledOff(ctx, a.Settle, &body.drained, w.after)
 	traced := httptrace.WithClientTrace(end.request, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
@@ -184,6 +185,10 @@
 					c.settle(ctx, w.after)
 				}
 			}
+			// Only now, before the transport writes the head: the connection may have taken long to come up.
+			if req := attempt.Load(); req != nil {
+				req.Header.Set(headLeft, strconv.FormatInt(max(1, a.Remaining().Milliseconds()), 10))
+			}
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			wrote.Store(i.Err == nil)
@@ -202,7 +207,7 @@
 			req.Header[name] = v
 		}
 	}
-	req.Header.Set(headLeft, strconv.FormatInt(max(1, a.Wait.Milliseconds()), 10))
+	attempt.Store(req)
 	res, err := w.transport.RoundTrip(req)
 	if err != nil {
 		end.over()
