Two flaky tests: an end reported before its beginning was heard, an answer before the head

Cause, TestTwoChoices: a caller reports an answer's beginning, and the core hears of it a little later, on another goroutine; the report of its end came in between and was refused as 'no such grant'. A fault of the desk: the end was lost. Cause, TestTooManyOpenRequestsAreRefused: the processor answers and ends its stream before the stand-in proxy sends the head; the proxy took the failed send for the end and never read the answer. A fault of the stand-in.

Change: the desk knows the stream from the report of its beginning on and keeps an end that comes early; the stand-in reads the processor's last word.

--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -9,11 +9,15 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -52,6 +56,12 @@
 
 // startOn is the same on other terms, with what the core logs.
 func startOn(t testing.TB, o standin.Options, terms grant.Terms, coreLog *slog.Logger) *bed {
+	t.Helper()
+	return startSeen(t, o, terms, coreLog, decisions.Seen{})
+}
+
+// startSeen is the same with what is told to seen.
+func startSeen(t testing.TB, o standin.Options, terms grant.Terms, coreLog *slog.Logger, seen decisions.Seen) *bed {
 	t.Helper()
 	must := func(err error) {
 		t.Helper()
@@ -68,7 +78,7 @@
 	hw := httpfront.NewWorkers(site.ConnectTimeout, site.ConnIdle, 400, log)
 	c, err := core.New(site.Settings, 1, hw, coreLog)
 	must(err)
-	desk, err := decisions.NewDesk(c, hw, terms, decisions.Seen{}, log)
+	desk, err := decisions.NewDesk(c, hw, terms, seen, log)
 	must(err)
 	b := &bed{t: t, fleet: fleet, core: c, desk: desk, names: httpfront.Names{Kinds: site.KindNames, Zones: site.ZoneNames}}
 	b.list(nil)
@@ -210,6 +220,57 @@
 	wantCode(t, "a report after the end", c.report(write, pb.Fate_FATE_RAN), codes.NotFound)
 }
 
+// heldTracer holds what a caller has reported of a write back from the core, until release.
+type heldTracer struct {
+	noop.Tracer
+	release chan struct{}
+}
+
+func (h heldTracer) Start(ctx context.Context, _ string, opts ...trace.SpanStartOption) (context.Context, trace.Span) {
+	start := trace.NewSpanStartConfig(opts...)
+	if !slices.Contains(start.Attributes(), attribute.String("stage", "write")) {
+		return ctx, noop.Span{}
+	}
+	return ctx, heldSpan{release: h.release}
+}
+
+type heldSpan struct {
+	noop.Span
+	release chan struct{}
+}
+
+func (h heldSpan) End(...trace.SpanEndOption) { <-h.release }
+
+// A caller tells of an answer's beginning and at once of its end: the end holds, though the core has not heard of the
+// beginning yet, and is told once.
+func TestAnEndIsToldBeforeTheCoreHasHeardOfTheBeginning(t *testing.T) {
+	tracer := heldTracer{release: make(chan struct{})}
+	b := startSeen(t, standin.Options{Readers: 1, Writers: 1}, terms, slog.New(slog.DiscardHandler), decisions.Seen{Tracer: tracer})
+	c := b.caller("p1")
+	read := c.must(c.ask("q1", 0, "send-message"))
+	if code, text := c.carry(read, "q1", "send-message", "k"); code != http.StatusAccepted {
+		t.Fatalf("read: %d %s", code, text)
+	}
+	if err := c.report(read, pb.Fate_FATE_READ); err != nil {
+		t.Fatal(err)
+	}
+	write := c.must(c.ask("q1", 1, "send-message"))
+	if code, text := c.carry(write, "q1", "send-message", "k"); code != http.StatusOK {
+		t.Fatalf("write: %d %s", code, text)
+	}
+	for _, fate := range []pb.Fate{pb.Fate_FATE_BEGUN, pb.Fate_FATE_ENDED} {
+		if err := c.report(write, fate); err != nil {
+			t.Errorf("%v: %v", fate, err)
+		}
+	}
+	wantCode(t, "the end once more", c.report(write, pb.Fate_FATE_ENDED), codes.NotFound)
+	close(tracer.release)
+	b.settled()
+	if n := decisions.Streams(b.desk); n != 0 {
+		t.Errorf("%d streams that nobody relays", n)
+	}
+}
+
 // The router reads, the caller carries the one write; turned away, it is told another writer.
 func TestReadHere(t *testing.T) {
 	b := start(t, standin.Options{Readers: 1, Writers: 2})
--- a/internal/decisions/desk.go
+++ b/internal/decisions/desk.go
@@ -73,6 +73,7 @@
 	free     func()                  // gives its id back
 	next     *offer                  // chosen and not granted
 	out      *offer                  // granted and not reported
+	begun    uint64                  // the grant of which its caller said that the answer has begun, 0 = none
 	turn     *turn                   // the call that waits, nil = none
 	first    time.Duration           // how long its answer is likely to take
 }
@@ -100,10 +101,12 @@
 	at     time.Time
 }
 
-// stream is an answer that a caller relays.
+// stream is an answer that a caller relays. It is there from the caller's report of its beginning on: the core hears of that
+// a little later, and the report of its end may come in between.
 type stream struct {
 	caller string
-	ended  func(decide.Status)
+	ended  func(decide.Status) // nil until the core has heard of the beginning
+	over   decide.Status       // how it had ended before that, 0 = it had not
 	timer  *time.Timer
 }
 
@@ -287,6 +290,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var err error
+	if answer.Verdict != core.Streaming {
+		delete(d.streams, s.begun) // the answer began too late
+	}
 	switch answer.Verdict {
 	case core.Streaming:
 		d.relays(s, answer)
@@ -367,7 +373,7 @@
 		o.result <- core.Result{Status: decide.Moot}
 		return
 	}
-	g, err := d.table.Offer(d.now(), s.id, o.To.ID, o.Read, o.Wait)
+	g, err := d.table.Offer(d.now(), s.id, o.To.ID, o.Read, o.Remaining())
 	var busy *grant.Busy
 	switch {
 	case errors.As(err, &busy): // the ledger has no room: the request is refused, nothing has run
@@ -396,6 +402,10 @@
 	}
 	if o := s.out; o != nil && o.grant == g {
 		s.out = nil
+		if fate == grant.Begun {
+			s.begun = id
+			d.streams[id] = &stream{caller: caller}
+		}
 		o.result <- result
 	}
 	if over && fate != grant.Begun {
@@ -495,30 +505,38 @@
 
 // relays has an answer that a caller relays count at its writer until its end, or as long as it is likely to take.
 func (d *Desk) relays(s *session, answer core.Answer) {
-	id := uint64(0)
-	if o, ok := answer.Stream.(*offer); ok && o.grant != nil {
-		id = o.grant.ID
+	id := s.begun
+	x := d.streams[id]
+	if x.over != 0 {
+		delete(d.streams, id)
+		go answer.Ended(x.over)
+		return
 	}
-	x := &stream{caller: s.caller, ended: answer.Ended}
 	long := min(s.first, longestHint)
 	if s.oneWrite { // its wire tells
 		long = time.Hour
-	} else if len(d.streams) >= d.terms.Open { // guards the memory against callers that never say that answers end
+	} else if len(d.streams) > d.terms.Open { // guards the memory against callers that never say that answers end
+		delete(d.streams, id)
 		go answer.Ended(decide.Served)
 		return
 	}
+	x.ended = answer.Ended
 	x.timer = time.AfterFunc(long, func() { d.Ended(s.caller, id, decide.Served) })
-	d.streams[id] = x
 }
 
 // Ended takes the news of how an answer has come to its end.
 func (d *Desk) Ended(caller string, id uint64, how decide.Status) error {
 	d.mu.Lock()
 	x := d.streams[id]
-	if x == nil || x.caller != caller {
+	if x == nil || x.caller != caller || x.over != 0 {
 		d.mu.Unlock()
 		return grant.ErrUnknown
 	}
+	if x.ended == nil { // the core has not heard of its beginning yet: relays sees to the end
+		x.over = how
+		d.mu.Unlock()
+		return nil
+	}
 	delete(d.streams, id)
 	d.mu.Unlock()
 	x.timer.Stop()
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -62,11 +62,10 @@
 	for k, v := range r.Header {
 		put(k, v[0])
 	}
-	// ask sends a message and returns the answer, nil where the request is over with it.
+	// ask sends a message and returns the answer, nil where the request is over with it. A message that can't be sent has
+	// met the processor's end: its last word, an answer of its own for one, is still to be read.
 	ask := func(m *extprocv3.ProcessingRequest) *extprocv3.ProcessingResponse {
-		if stream.Send(m) != nil {
-			return nil
-		}
+		_ = stream.Send(m)
 		t := <-says
 		if t.err != nil || immediate(w, t.GetImmediateResponse()) {
 			return nil
