--- a/decide/decide.go
+++ b/decide/decide.go
@@ -156,7 +156,7 @@
 	if p.PrefixLen == 0 || 2*p.PrefixLen >= p.Prompt {
 		p.home = p.Prefix
 	}
-	p.popular = r.begun.part(p.home, r.now)
+	p.popular = r.begun.part(p.home, float64(r.size(p)), r.now)
 	p.value = r.value(p)
 	r.next(p)
 }
@@ -749,7 +749,7 @@
 func (r *Router) opens(p *request, s *server, most float64) bool {
 	key := mix(^cmp.Or(p.Session, uint64(p.ID)))
 	switch {
-	case part(mix(key)) >= r.able(s)*most:
+	case part(mix(key))*r.begun.weight(float64(r.size(p)), r.now) >= r.able(s)*most:
 		return false
 	case s.role == Writer && p.reader != nil:
 		return s == p.named
@@ -952,12 +952,13 @@
 		if !a.read {
 			r.moved(p.holder, s, o.Took)
 		}
-		s.wait.add(o.Took.Seconds(), r.now)
-		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
-		if s.sign < a.at {
+		if s.sign < a.at { // silence is no measure of a queue
 			r.ill(s, badLeast)
 			r.miss(s, a.at, missRefused)
+			break
 		}
+		s.wait.add(o.Took.Seconds(), r.now)
+		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
 	}
 	never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot || o.Status == Served
 	if !a.read && !never && p.ran == nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -484,24 +484,42 @@
 // shareDoubt is how many requests less than nothing one must have seen of to tell its part.
 const shareDoubt = 0.4
 
-// tally counts requests by their beginning, older ones for less. It forgets those that faded, and holds so many at most.
+// tally counts the work of requests by their beginning, older ones for less. It forgets those that faded, and holds so many
+// at most.
 type tally struct {
-	all rate
-	of  map[uint64]*rate
+	work     rate // of all
+	requests rate
+	of       map[uint64]*rate // work by beginning
 }
 
-// part is how much of all a beginning has, leaning to much where little has been seen, 0 for none; it counts it after that.
-func (t *tally) part(key uint64, now time.Duration) float64 {
+// weight is how much more room a request of so much work needs than one of mean work, where it is the larger. What a server
+// bears is counted in requests of mean work; the root lies between counting requests alike and counting their work alone.
+func (t *tally) weight(work float64, now time.Duration) float64 {
+	requests := t.requests.value(now)
+	if requests <= forgotten {
+		return 1
+	}
+	return max(1, math.Sqrt(work*requests/t.work.value(now)))
+}
+
+// part is how much of all work a beginning makes, leaning to much where little has been seen, 0 for none. What is not
+// known of it is taken to be like the request at hand, which is counted after that.
+func (t *tally) part(key uint64, work float64, now time.Duration) float64 {
 	if t.of == nil {
-		t.all.span, t.of = usualSpan, make(map[uint64]*rate)
+		t.work.span, t.requests.span, t.of = usualSpan, usualSpan, make(map[uint64]*rate)
+	}
+	all, mean := t.work.value(now), work
+	if requests := t.requests.value(now); requests > forgotten {
+		mean = all / requests
 	}
+	t.work.add(now, work)
+	t.requests.add(now, 1)
 	if key == 0 {
-		t.all.add(now, 1)
 		return 0
 	}
 	n, ok := t.of[key]
 	if !ok && len(t.of) >= prefixTable {
-		maps.DeleteFunc(t.of, func(_ uint64, n *rate) bool { return n.value(now) < forgotten })
+		maps.DeleteFunc(t.of, func(_ uint64, n *rate) bool { return n.value(now) < forgotten*mean })
 	}
 	if !ok && len(t.of) < prefixTable {
 		n = &rate{span: usualSpan}
@@ -510,10 +528,9 @@
 	seen := 0.0
 	if n != nil {
 		seen = n.value(now)
-		n.add(now, 1)
+		n.add(now, work)
 	}
-	t.all.add(now, 1)
-	return (seen + shareDoubt) / (t.all.value(now) - 1 + 4*shareDoubt)
+	return (seen + shareDoubt*work) / (all + 4*shareDoubt*mean)
 }
 
 func (r *Router) list(e Server) {
