--- a/decide/decide.go
+++ b/decide/decide.go
@@ -268,7 +268,7 @@
 // another answers is passed over (admits). It costs two probes and some milliseconds, which hurts
 // where aims are short.
 func (r *Router) look(p *request, s *server) bool {
-	if !r.set.CanProbe || p.looked || s.wait.known(r.now, rateSpan) >= 1 {
+	if !r.set.CanProbe || p.looked || !s.silent && s.wait.known(r.now, rateSpan) >= 1 {
 		return false
 	}
 	p.looked = true
@@ -949,13 +949,13 @@
 		if !a.read {
 			r.moved(p.holder, s, o.Took)
 		}
-		if s.sign < a.at { // silence is no measure of a queue
+		s.wait.add(o.Took.Seconds(), r.now)
+		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
+		if s.sign < a.at {
+			s.silent = true
 			r.ill(s, badLeast)
 			r.miss(s, a.at, missRefused)
-			break
 		}
-		s.wait.add(o.Took.Seconds(), r.now)
-		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
 	}
 	never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot || o.Status == Served
 	if !a.read && !never && p.ran == nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -174,6 +174,7 @@
 	good     rate            // attempts that went well
 	bad      rate            // attempts that failed or met silence
 	wait     mean            // time to the end of a read or to the first token
+	silent   bool            // of attempts that met no sign of it: no measure of a queue, once a probe is answered
 	streams  streams         // its answers, against their hints
 	sign     time.Duration   // last sign of life
 	passed   time.Duration   // when the latest one was sent of those that went well
@@ -642,6 +643,9 @@
 	r.now = now
 	s := r.servers[l.Server]
 	r.toldAt = now
+	if s != nil && s.silent {
+		s.silent, s.wait = false, mean{}
+	}
 	switch {
 	case s == nil || math.IsInf(l.Tokens, 1) || math.IsInf(l.Queue, 1):
 	case l.Tokens >= 0:
--- /dev/null
+++ b/internal/scale/hollow/hollow_test.go
@@ -0,0 +1,99 @@
+package hollow
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
+	"rowanyard/internal/httpfront"
+)
+
+// The workers answer a router's own client, and what it sends is counted by kind.
+func TestWorkersSpeakToTheRoutersClient(t *testing.T) {
+	const workers = 600
+	f, err := Start(Options{Workers: workers, Readers: 0.25, Tokens: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	client := httpfront.NewWorkers(time.Minute, time.Minute, 100, nil)
+	reader, writer := -1, -1
+	readers := 0
+	for i := range workers {
+		if f.IsReader(i) {
+			readers, reader = readers+1, i
+		} else {
+			writer = i
+		}
+	}
+	if readers != workers/4 {
+		t.Errorf("%d readers of %d", readers, workers)
+	}
+	x := &httpfront.Exchange{Workers: client, Method: http.MethodPost, URI: httpfront.PathChat, Head: http.Header{"X-Txn": {"a"}}, Body: []byte("{}")}
+	attempt := func(worker int, read bool) core.Result {
+		return x.Try(t.Context(), core.Attempt{To: core.Worker{Addr: f.Address(worker)}, Read: read,
+			Deadline: time.Now().Add(time.Minute), Allowed: func() bool { return true }})
+	}
+	if res := attempt(reader, true); res.Status != decide.Read {
+		t.Errorf("read: %+v", res)
+	}
+	res := attempt(writer, false)
+	if res.Status != 0 {
+		t.Fatalf("write: %+v", res)
+	}
+	text, err := io.ReadAll(res.Stream.(io.Reader))
+	if n := strings.Count(string(text), "data: "); err != nil || n != 4 { // three events and the end
+		t.Errorf("%d events, %v", n, err)
+	}
+	at := core.Worker{Addr: f.Address(workers - 1)}
+	if p, err := client.Probe(t.Context(), at); err != nil || p.Queue != 0 {
+		t.Errorf("probe: %+v %v", p, err)
+	}
+	if err := client.Release(t.Context(), at, "a"); err != nil {
+		t.Errorf("release: %v", err)
+	}
+	counts := f.Counts()
+	for _, kind := range []Kind{Probe, Release, Read, Write} {
+		if c := counts.By[kind]; c.Messages != 1 || c.In == 0 || c.Out == 0 {
+			t.Errorf("%v: %+v", kind, c)
+		}
+	}
+	if counts.By[Other].Messages != 0 || counts.Connections < 2 || counts.Busiest != 1 {
+		t.Errorf("%+v", counts)
+	}
+	if since := f.Counts().Since(counts); since.By[Probe].Messages != 0 || since.Connections != 0 {
+		t.Errorf("nothing has come since: %+v", since)
+	}
+}
+
+// An address behind the last worker's is nobody's.
+func TestThereAreNoMoreWorkersThanWereAskedFor(t *testing.T) {
+	f, err := Start(Options{Workers: 2, Readers: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", f.Address(2))
+	if err != nil {
+		return // nor is anybody there
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n")
+	if text, _ := io.ReadAll(c); len(text) > 0 {
+		t.Errorf("%q", text)
+	}
+	for _, bad := range []Options{{}, {Workers: 1, Readers: 0.5}, {Workers: Most + 1, Readers: 0.5}, {Workers: 9}, {Workers: 9, Readers: 1}} {
+		if f, err := Start(bad); err == nil {
+			f.Close()
+			t.Errorf("%+v: started", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/onerouter/process.go
@@ -0,0 +1,212 @@
+package onerouter
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"rowanyard/internal/httpfront"
+	"rowanyard/internal/scale/hollow"
+	"rowanyard/internal/scale/procstat"
+	"rowanyard/internal/scale/registry"
+)
+
+const (
+	readyWait = 30 * time.Second // a router that is not ready by then has failed
+	readyLook = 5 * time.Millisecond
+	endWait   = 20 * time.Second // one that has not ended by then is killed
+	lastWords = 4 << 10          // bytes of the log that are kept for an error
+)
+
+// Process is the router that is measured, among what it is measured with.
+type Process struct {
+	fleet   *hollow.Fleet
+	door    *registry.Door
+	command *exec.Cmd
+	address string
+	folder  string
+	log     logCounter
+	began   time.Time
+	ended   chan struct{} // closed once the process has ended
+
+	Ready time.Duration // from the start until it wanted clients
+}
+
+// logCounter counts what the router logs and keeps its last words.
+type logCounter struct {
+	mu    sync.Mutex
+	bytes int64
+	last  bytes.Buffer
+	seq   int64 // of the latest list that it tells of
+}
+
+func (l *logCounter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes += int64(len(p))
+	l.last.Write(p)
+	for _, found := range listed.FindAllSubmatch(p, -1) {
+		if seq, err := strconv.ParseInt(string(found[1]), 10, 64); err == nil {
+			l.seq = seq
+		}
+	}
+	if over := l.last.Len() - lastWords; over > 0 {
+		l.last.Next(over)
+	}
+	return len(p), nil
+}
+
+func (l *logCounter) count() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
+func (l *logCounter) version() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seq
+}
+
+// lastLine is the last whole line of the log.
+func (l *logCounter) lastLine() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines := strings.Split(strings.TrimSpace(l.last.String()), "\n")
+	return lines[len(lines)-1]
+}
+
+// Start starts a router's process that knows the given hosts, and waits until it is ready.
+func Start(ctx context.Context, o Options, fleet *hollow.Fleet, door *registry.Door, hosts []httpfront.Entry) (*Process, error) {
+	r, err := start(o, hosts, door.Address)
+	if err != nil {
+		return nil, err
+	}
+	r.fleet, r.door = fleet, door
+	if r.Ready, err = r.ready(ctx); err != nil {
+		return nil, errors.Join(err, r.End())
+	}
+	return r, nil
+}
+
+// start starts the process.
+func start(o Options, hosts []httpfront.Entry, discovery string) (*Process, error) {
+	address, err := freeAddress(o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := Settings(o.Routers, o.Zones)
+	if err != nil {
+		return nil, err
+	}
+	config, err := json.Marshal(map[string]any{
+		"name": "measured", "listen": address, "discovery": discovery, "seed": fmt.Sprintf("%x", o.Seed),
+		"limits":   map[string]any{"cores": 1, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
+		"known":    httpfront.List{Seq: 1, Whole: true, Hosts: hosts},
+		"settings": settings,
+	})
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "scaletest")
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(folder, "config.json")
+	if err := os.WriteFile(file, config, 0o600); err != nil {
+		return nil, errors.Join(err, os.RemoveAll(folder))
+	}
+	r := &Process{command: exec.Command(o.Program), address: address, folder: folder, began: time.Now(), ended: make(chan struct{})}
+	r.command.Env = append(os.Environ(), "ROUTER_CONFIG="+file)
+	r.command.Stderr = &r.log
+	if err := r.command.Start(); err != nil {
+		return nil, errors.Join(err, os.RemoveAll(folder))
+	}
+	go func() {
+		_ = r.command.Wait() // its exit status says no more than its log
+		close(r.ended)
+	}()
+	return r, nil
+}
+
+// freeAddress is an address at which nobody listens: the one that was asked for, or any.
+func freeAddress(asked string) (string, error) {
+	l, err := net.Listen("tcp", cmp.Or(asked, "127.0.0.1:0"))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// ready waits until the router wants clients, and tells how long that took.
+func (r *Process) ready(ctx context.Context) (time.Duration, error) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for time.Since(r.began) < readyWait {
+		if res, err := client.Get("http://" + r.address + "/health/ready"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return time.Since(r.began), nil
+			}
+		}
+		select {
+		case <-r.ended:
+			return 0, fmt.Errorf("the router ended at its start: %s", r.log.lastLine())
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(readyLook):
+		}
+	}
+	return 0, fmt.Errorf("the router is not ready after %v: %s", readyWait, r.log.lastLine())
+}
+
+// Moment is all counts at one moment.
+type Moment struct {
+	Process   procstat.Sample
+	Workers   hollow.Counts
+	Discovery Flow
+	Log       int64 // bytes
+}
+
+// Sample takes all counts.
+func (r *Process) Sample() (Moment, error) {
+	process, err := procstat.Read(r.command.Process.Pid)
+	if err != nil {
+		return Moment{}, fmt.Errorf("the router has ended: %w: %s", err, r.log.lastLine())
+	}
+	toDiscovery, fromDiscovery := r.door.Bytes()
+	return Moment{Process: process, Workers: r.fleet.Counts(), Log: r.log.count(),
+		Discovery: Flow{In: fromDiscovery, Out: toDiscovery}}, nil
+}
+
+// listed is how the router's log tells of a list.
+var listed = regexp.MustCompile(`msg="worker list".* seq=(\d+)`)
+
+// Version is the latest version of the list that the router says it has taken, 0 = none.
+func (r *Process) Version() int64 { return r.log.version() }
+
+// End ends the process.
+func (r *Process) End() error {
+	_ = r.command.Process.Signal(syscall.SIGTERM) // it may have ended
+	select {
+	case <-r.ended:
+	case <-time.After(endWait):
+		_ = r.command.Process.Kill()
+		<-r.ended
+	}
+	return os.RemoveAll(r.folder)
+}
