decide: running estimates and lookups in files of their own, names of lists that say what they hold

state.go had grown to 680 lines and held four things. It holds the records now (428 lines); running.go has the estimates that forget, lookup.go what a choice looks up.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -601,8 +601,8 @@
 	p.coldKey = mix(^cmp.Or(p.Session, uint64(p.ID)))
 	p.coldPart = part(mix(p.coldKey)) * r.begun.weight(float64(r.size(p)))
 	r.name(p, role)
-	fit := append(r.fit[role][:0], r.index.Warm(int(role), r.now)...)
-	for _, s := range r.coldOnes(p, role) {
+	fit := append(r.eligible[role][:0], r.index.Warm(int(role), r.now)...)
+	for _, s := range r.coldCandidates(p, role) {
 		if r.mayWarm(p, s) {
 			fit.add(s)
 		}
@@ -622,11 +622,11 @@
 			fit = near
 		}
 	}
-	r.fit[role] = fit
+	r.eligible[role] = fit
 	if !ill {
 		return fit
 	}
-	well := r.fine[role].filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(s, each) })
+	well := r.healthy[role].filter(fit, func(s *server) bool { return r.trusted(s) && !r.slow(s, each) })
 	if 2*len(well) < len(fit) {
 		return fit
 	}
--- a/decide/estimates.go
+++ b/decide/estimates.go
@@ -47,7 +47,7 @@
 // where the state must be taken at once. The equally far are in the order that is the cell's at all fronts.
 func (r *Router) nearest(reader *server) []*server {
 	at := place{reader.Cell, reader.Zone}
-	near, ok := r.ways[at]
+	near, ok := r.nearestWriters[at]
 	if !ok {
 		near = filter(r.index.Ready(int(Writer)), func(s *server) bool { return s.Zone == reader.Zone })
 		for _, s := range near {
@@ -56,7 +56,7 @@
 		slices.SortFunc(near, func(a, b *server) int {
 			return cmp.Or(distance(a, reader)-distance(b, reader), cmp.Compare(b.order, a.order))
 		})
-		r.ways[at] = near
+		r.nearestWriters[at] = near
 	}
 	return near
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -15,86 +14,42 @@
 
 // Router decides for one front. It is not safe for concurrent use.
 type Router struct {
-	set      Settings
-	out      Front
-	rng      *rand.Rand
-	now      time.Duration
-	servers  map[string]*server
-	listed   []*server                   // by id
-	index    *serverindex.Index[*server] // of those that are ready
-	prefixes prefixIndex
-	ways     map[place][]*server // the nearest writers, from where they were asked for since the list changed
-	booked   int                 // changes to what servers took and were sent
-	open     map[RequestID]*request
-	tokens   int    // own tokens under way, from taking to the end
-	asked    []rate // requests by tenant
-	kinds    []kind
-	cells    map[int]*cell
-	zones    map[int]*zone
-	begun    tally              // requests by beginning
-	came     [Mixed + 1]rate    // sends, while a server of the role was warm
-	reads    rate               // states held
-	readers  float64            // ready ones
-	room     [Mixed + 1]float64 // the ready servers' memory for answers, by role
-	held     [Mixed + 1]int     // own tokens under way there
-	streams  [Mixed + 1]int     // own attempts that hold them
-	answers  [Mixed + 1]streams // of the ready servers together
-	perToken float64            // seconds that an unhindered read takes for a token that is not kept
-	near     mean               // time to the first token in the cell of the state
-	moves    mean               // of both
-	far      mean               // and out of it
-	toldAt   time.Duration      // the latest answer to a probe
-	began    time.Duration      // the first server list came
-	worth    float64            // the highest worth of a class
+	set            Settings
+	out            Front
+	rng            *rand.Rand
+	now            time.Duration
+	servers        map[string]*server
+	listed         []*server                   // by id
+	index          *serverindex.Index[*server] // of those that are ready
+	prefixes       prefixIndex
+	nearestWriters map[place][]*server // by the place of the reader, as far as asked for since the list changed
+	booked         int                 // changes to what servers took and were sent
+	open           map[RequestID]*request
+	tokens         int    // own tokens under way, from taking to the end
+	asked          []rate // requests by tenant
+	kinds          []kind
+	cells          map[int]*cell
+	zones          map[int]*zone
+	begun          tally              // requests by beginning
+	came           [Mixed + 1]rate    // sends, while a server of the role was warm
+	reads          rate               // states held
+	readers        float64            // ready ones
+	room           [Mixed + 1]float64 // the ready servers' memory for answers, by role
+	held           [Mixed + 1]int     // own tokens under way there
+	streams        [Mixed + 1]int     // own attempts that hold them
+	answers        [Mixed + 1]streams // of the ready servers together
+	perToken       float64            // seconds that an unhindered read takes for a token that is not kept
+	near           mean               // time to the first token in the cell of the state
+	moves          mean               // of both
+	far            mean               // and out of it
+	toldAt         time.Duration      // the latest answer to a probe
+	began          time.Duration      // the first server list came
+	worth          float64            // the highest worth of a class
 
 	// Lists that one choice is made from; each is good until the next of its name.
-	specials  [Mixed + 1][]*server // see Router.special
-	fit, fine [Mixed + 1]scratch   // the servers of a role that a request may go to, and those of them that are well
-	nearby    scratch              // the writers that are near enough and have room
-}
-
-// place is where a server is.
-type place struct{ cell, zone int }
-
-// scratch is a list whose memory serves again.
-type scratch []*server
-
-// keep drops the others.
-func (l *scratch) keep(which func(*server) bool) { l.filter(*l, which) }
-
-// at is the place of a server in a list that is in the index's order.
-func (l *scratch) at(s *server) (place int, found bool) {
-	return slices.BinarySearchFunc(*l, s, func(a, b *server) int { return a.place - b.place })
-}
-
-// add puts a server in its place. The order of readers is of no account: they are ranked.
-func (l *scratch) add(s *server) {
-	if s.role == Reader {
-		*l = append(*l, s)
-		return
-	}
-	place, _ := l.at(s)
-	*l = slices.Insert(*l, place, s)
-}
-
-// remove takes a server out, if it is there.
-func (l *scratch) remove(s *server) {
-	if s.role == Reader {
-		*l = slices.DeleteFunc(*l, func(o *server) bool { return o == s })
-	} else if place, found := l.at(s); found {
-		*l = slices.Delete(*l, place, place+1)
-	}
-}
-
-// filter lists the servers to keep in place of those before.
-func (l *scratch) filter(of []*server, keep func(*server) bool) []*server {
-	*l = (*l)[:0]
-	for _, s := range of {
-		if keep(s) {
-			*l = append(*l, s)
-		}
-	}
-	return *l
+	specials          [Mixed + 1][]*server // see Router.special
+	eligible, healthy [Mixed + 1]scratch   // the servers of a role that a request may go to, and those of them that are well
+	nearby            scratch              // the writers that are near enough and have room
 }
 
 // newRouter is a Router that has heard nothing yet.
@@ -102,7 +57,7 @@
 	r := &Router{set: set, out: out, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: make(map[string]*server), open: make(map[RequestID]*request)}
 	r.kinds, r.asked = make([]kind, len(set.Kinds)), make([]rate, len(set.Tenants))
-	r.index, r.ways, r.booked = serverindex.New[*server](int(Mixed)+1, len(set.Kinds)), make(map[place][]*server), 1
+	r.index, r.nearestWriters, r.booked = serverindex.New[*server](int(Mixed)+1, len(set.Kinds)), make(map[place][]*server), 1
 	r.cells, r.zones, r.reads.span = make(map[int]*cell), make(map[int]*zone), usualSpan
 	for i := range r.kinds {
 		r.kinds[i].asked.span, r.kinds[i].took.span = usualSpan, usualSpan
@@ -193,83 +148,6 @@
 	t.till = now + t.length
 }
 
-// mean is a running mean that forgets.
-type mean struct {
-	value float64
-	n     float64
-	at    time.Duration // of the latest value
-}
-
-func (m *mean) add(v float64, now time.Duration) { m.weigh(v, now, 1) }
-
-// weigh adds a value that counts for less than a whole one.
-func (m *mean) weigh(v float64, now time.Duration, weight float64) {
-	m.n = min(m.n+weight, 1/waitWeight)
-	m.value += (v - m.value) * weight / m.n
-	m.at = now
-}
-
-// known is how many values m stands for, older ones for less.
-func (m *mean) known(now, span time.Duration) float64 {
-	return m.n * math.Exp(-float64(now-m.at)/float64(span))
-}
-
-// among leans m on the mean of its peers: the more, the fewer values it has and the older they are.
-func (m *mean) among(peers mean, now, span time.Duration) float64 {
-	n := m.known(now, span)
-	return (n*m.value + peers.value) / (n + 1)
-}
-
-// streams is how long answers take in hints of their length: an answer that runs counts with its time so far.
-type streams struct {
-	spent, done rate    // hints that ended answers took, and how many ended
-	each, since float64 // of those that run: the sum of 1/hint, and of their beginnings in hints
-}
-
-// begin and end book an answer of the given hint that began at a time.
-func (t *streams) begin(at, hint time.Duration) {
-	t.each += 1 / hint.Seconds()
-	t.since += at.Seconds() / hint.Seconds()
-}
-
-func (t *streams) end(at, hint, now time.Duration) {
-	t.each -= 1 / hint.Seconds()
-	t.since -= at.Seconds() / hint.Seconds()
-	t.spent.add(now, (now-at).Seconds()/hint.Seconds())
-	t.done.add(now, 1)
-}
-
-// newStreams is streams of no server yet.
-func newStreams() streams {
-	return streams{spent: rate{span: slowSpan}, done: rate{span: slowSpan}}
-}
-
-// addAll counts the answers of another.
-func (t *streams) addAll(of *streams, now time.Duration) {
-	t.spent.add(now, of.spent.value(now))
-	t.done.add(now, of.done.value(now))
-	t.each += of.each
-	t.since += of.since
-}
-
-// sum is the hints that have been spent, and the answers that have ended.
-func (t *streams) sum(now time.Duration) (spent, done float64) {
-	return t.spent.value(now) + max(0, t.each*now.Seconds()-t.since), t.done.value(now)
-}
-
-// rate counts events, older ones for less.
-type rate struct {
-	count float64
-	at    time.Duration
-	span  time.Duration // the mean age of what counts
-}
-
-func (c *rate) add(now time.Duration, n float64) { c.count, c.at = c.value(now)+n, now }
-
-func (c *rate) value(now time.Duration) float64 {
-	return c.count * math.Exp(-float64(now-c.at)/float64(c.span))
-}
-
 // request is one client request until its last attempt has ended.
 type request struct {
 	Request
@@ -401,7 +279,7 @@
 		}
 	}
 	r.booked++
-	clear(r.ways)
+	clear(r.nearestWriters)
 	r.index.Replace(ready)
 	r.sumAnswers()
 	for role := range r.specials {
@@ -413,78 +291,6 @@
 	}
 }
 
-// sumAnswers sums up how long answers take, by the role of the ready servers.
-func (r *Router) sumAnswers() {
-	for role := range r.answers {
-		r.answers[role] = newStreams()
-		for _, s := range r.index.Ready(role) {
-			r.answers[role].addAll(&s.streams, r.now)
-		}
-	}
-}
-
-// answerBegins and answerEnds book an answer of the given hint at s.
-func (r *Router) answerBegins(s *server, hint time.Duration) {
-	s.streams.begin(r.now, hint)
-	if s.State == Ready {
-		r.answers[s.role].begin(r.now, hint)
-	}
-}
-
-func (r *Router) answerEnds(s *server, first, hint time.Duration) {
-	s.streams.end(first, hint, r.now)
-	if s.State == Ready {
-		r.answers[s.role].end(first, hint, r.now)
-	}
-}
-
-// special lists the ready servers of a role that are not like most: each choice has to look at them.
-func (r *Router) special(role Role) []*server {
-	r.specials[role] = slices.DeleteFunc(r.specials[role], func(s *server) bool {
-		s.marked = s.isSpecial()
-		return !s.marked
-	})
-	return r.specials[role]
-}
-
-func (s *server) isSpecial() bool { return s.suspect || s.tokens > 0 || len(s.full) > 0 }
-
-// mark has each choice look at s for as long as it is special.
-func (r *Router) mark(s *server) {
-	if s.State == Ready && !s.marked && s.isSpecial() {
-		s.marked = true
-		r.specials[s.role] = append(r.specials[s.role], s)
-	}
-}
-
-// coldOnes lists the cold servers of a role that could be open to p: of the writers near its reader only the one that it
-// names, where fronts are many.
-func (r *Router) coldOnes(p *request, role Role) []*server {
-	if role != Writer || p.reader == nil || !r.many() {
-		return r.index.Cold(int(role), r.now)
-	}
-	if p.named == nil || r.warm(p.named) {
-		return nil
-	}
-	return []*server{p.named}
-}
-
-// reached says that the zone of s is not left alone just now.
-func (r *Router) reached(s *server) bool { return r.now >= r.zone(s.Zone).rest.till }
-
-// anyZoneRests says that some zone is left alone just now.
-func (r *Router) anyZoneRests() bool {
-	for _, z := range r.zones {
-		if r.now < z.rest.till {
-			return true
-		}
-	}
-	return false
-}
-
-// warmOnes is how many ready servers of a kind are warm.
-func (r *Router) warmOnes(kind int) int { return r.index.WarmOfKind(kind, r.now) }
-
 func (r *Router) cell(s *server) *cell {
 	if r.cells[s.Cell] == nil {
 		r.cells[s.Cell] = &cell{reads: rate{span: usualSpan}}
@@ -561,57 +367,6 @@
 	return (r.cell(reader).reads.value(r.now) + shareDoubt) / (r.reads.value(r.now) + 4*shareDoubt)
 }
 
-// shareDoubt is how many requests less than nothing one must have seen of to tell its part.
-const shareDoubt = 0.4
-
-// tally counts the work of requests by their beginning, older ones for less. It forgets those that faded, and holds so many
-// at most.
-type tally struct {
-	work     rate // of all
-	requests rate
-	of       map[uint64]*rate // work by beginning
-}
-
-// weight is how much more room a request of so much work needs than one of mean work, where it is the larger. What a server
-// bears is counted in requests of mean work; the root lies between counting requests alike and counting their work alone.
-func (t *tally) weight(work float64) float64 {
-	if t.work.count == 0 {
-		return 1
-	}
-	return max(1, math.Sqrt(work*t.requests.count/t.work.count)) // both fade alike
-}
-
-// part is how much of all work a beginning makes, leaning to much where little has been seen, 0 for none. What is not
-// known of it is taken to be like the request at hand, which is counted after that.
-func (t *tally) part(key uint64, work float64, now time.Duration) float64 {
-	if t.of == nil {
-		t.work.span, t.requests.span, t.of = usualSpan, usualSpan, make(map[uint64]*rate)
-	}
-	all, mean := t.work.value(now), work
-	if requests := t.requests.value(now); requests > forgotten {
-		mean = all / requests
-	}
-	t.work.add(now, work)
-	t.requests.add(now, 1)
-	if key == 0 {
-		return 0
-	}
-	n, ok := t.of[key]
-	if !ok && len(t.of) >= prefixTable {
-		maps.DeleteFunc(t.of, func(_ uint64, n *rate) bool { return n.value(now) < forgotten*mean })
-	}
-	if !ok && len(t.of) < prefixTable {
-		n = &rate{span: usualSpan}
-		t.of[key] = n
-	}
-	seen := 0.0
-	if n != nil {
-		seen = n.value(now)
-		n.add(now, work)
-	}
-	return (seen + shareDoubt*work) / (all + 4*shareDoubt*mean)
-}
-
 func (r *Router) list(e Server) {
 	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
 		return
