--- a/cmd/scaletest/router.go
+++ b/cmd/scaletest/router.go
@@ -19,6 +19,7 @@
 	Routers   int           `help:"Routers that the settings tell of." default:"340"`
 	Readers   float64       `help:"Share of workers that read prompts." default:"0.28"`
 	Zones     int           `help:"Zones of the workers." default:"6"`
+	NoProbes  bool          `help:"Workers do not answer probes: what probes cost is the difference."`
 	Tokens    int           `help:"Events of an answer." default:"4"`
 	TokenTime time.Duration `help:"Time between two events." default:"0s"`
 	Prompt    int           `help:"Bytes of a prompt." default:"8000"`
@@ -72,7 +73,7 @@
 	for _, rate := range c.Rates {
 		for _, workers := range c.Workers {
 			result, err := onerouter.Run(ctx, onerouter.Options{Program: c.Program, Routers: c.Routers, Workers: workers, Readers: c.Readers,
-				Zones: c.Zones, Rate: rate, Tokens: c.Tokens, TokenTime: c.TokenTime, Prompt: c.Prompt, Settle: c.Settle, Window: c.Window,
+				Zones: c.Zones, NoProbes: c.NoProbes, Rate: rate, Tokens: c.Tokens, TokenTime: c.TokenTime, Prompt: c.Prompt, Settle: c.Settle, Window: c.Window,
 				MemoryMB: c.Memory, Sockets: c.Sockets, Listen: c.Listen, Seed: c.Seed})
 			if err != nil {
 				return fmt.Errorf("%d workers, %g requests/s: %w", workers, rate, err)
--- a/internal/scale/onerouter/onerouter.go
+++ b/internal/scale/onerouter/onerouter.go
@@ -23,6 +23,7 @@
 	Workers   int
 	Readers   float64 // the share of workers that read
 	Zones     int
+	NoProbes  bool    // workers do not answer probes, so that none are sent
 	Rate      float64 // requests a second
 	Tokens    int     // events of an answer
 	TokenTime time.Duration
@@ -83,8 +84,8 @@
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
-// Settings is the settings object of a deployment of that size.
-func Settings(routers, zones int) (json.RawMessage, error) {
+// Settings is the settings object of a deployment of that size, in which servers answer probes or do not.
+func Settings(routers, zones int, probes bool) (json.RawMessage, error) {
 	var set map[string]any
 	if err := json.Unmarshal(standin.Settings(), &set); err != nil {
 		return nil, err
@@ -94,6 +95,11 @@
 		names[i] = zoneName(i)
 	}
 	set["n_instances"], set["zones"] = routers, names
+	limits, ok := set["limits"].(map[string]any)
+	if !ok {
+		return nil, errors.New("the settings have no limits")
+	}
+	limits["probing"] = probes
 	return json.Marshal(set)
 }
 
--- a/internal/scale/onerouter/process.go
+++ b/internal/scale/onerouter/process.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	settings, err := Settings(o.Routers, o.Zones)
+	settings, err := Settings(o.Routers, o.Zones, !o.NoProbes)
 	if err != nil {
 		return nil, err
 	}
