scale: one rule for which servers read, one pause; options and counts that nobody used are gone

Read again: hollow workers and the simulated fleet each had the rule that spreads readers, three loops waited in their own way, one of them past the end of its context; hollow.Options.Zones, hollow.Kinds, registry.Door.Calls and a check that linefit.Fit makes itself served nothing.

--- a/internal/scale/fleetsim/fleet.go
+++ b/internal/scale/fleetsim/fleet.go
@@ -84,7 +84,7 @@
 	f := &fleet{Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), servers: make(map[string]*server), cut: -1, tally: newTally()}
 	readers := 0
 	for i := range o.Servers {
-		if isReader(i, o.Readers) {
+		if toyserver.IsReader(i, o.Readers) {
 			readers++
 		}
 	}
@@ -102,11 +102,6 @@
 	return f
 }
 
-// isReader spreads readers evenly over the numbers of servers.
-func isReader(i int, share float64) bool {
-	return int(float64(i+1)*share) > int(float64(i)*share)
-}
-
 func (f *fleet) makeSettings() decide.Settings {
 	set := decide.Settings{
 		Fronts: f.Routers, Tick: time.Millisecond, MaxAttempts: maxAttempts, CanCancel: true, CanProbe: true, PinLimit: pinLimit,
@@ -125,7 +120,7 @@
 	cell := i / cellSize
 	zone := cell % f.Zones
 	s := &server{Server: decide.Server{ID: fmt.Sprintf("s%05d", i), Kind: writerKind, Cell: cell, Zone: zone, Weight: 1}, region: f.region(zone)}
-	if isReader(i, f.Readers) {
+	if toyserver.IsReader(i, f.Readers) {
 		s.Kind = readerKind
 		s.queue, s.cache = toyserver.NewQueue(1, 0), toyserver.NewCache(keptTokens)
 	}
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rowanyard/internal/scale/toyserver"
 )
 
 // Most is how many workers there may be: their addresses are 127.1.0.1 and up.
@@ -37,9 +39,6 @@
 
 func (k Kind) String() string { return kindNames[k] }
 
-// Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Probe, Release, Read, Write, Other} }
-
 // Count is messages, each with its answer, and their bytes above TCP.
 type Count struct{ Messages, In, Out int64 }
 
@@ -54,7 +53,6 @@
 type Options struct {
 	Workers   int
 	Readers   float64       // the share of workers that read
-	Zones     int           // of which the workers are in equal parts
 	Tokens    int           // events of an answer
 	TokenTime time.Duration // between two events
 }
@@ -82,7 +80,7 @@
 	case !(o.Readers > 0 && o.Readers < 1):
 		return nil, fmt.Errorf("a share of %v that reads: over 0 and under 1 makes sense", o.Readers)
 	}
-	o.Zones, o.Tokens = max(1, o.Zones), max(1, o.Tokens)
+	o.Tokens = max(1, o.Tokens)
 	l, err := net.Listen("tcp", "0.0.0.0:0")
 	if err != nil {
 		return nil, err
@@ -126,11 +124,8 @@
 	return n
 }
 
-// IsReader says whether the worker with a number reads. Readers are spread evenly over the numbers, and so over the zones.
-func (f *Fleet) IsReader(worker int) bool {
-	share := f.options.Readers
-	return int(float64(worker+1)*share) > int(float64(worker)*share)
-}
+// IsReader says whether the worker with a number reads.
+func (f *Fleet) IsReader(worker int) bool { return toyserver.IsReader(worker, f.options.Readers) }
 
 // Counts tells what the Fleet has met so far.
 func (f *Fleet) Counts() Counts {
--- a/internal/scale/listrun/listrun.go
+++ b/internal/scale/listrun/listrun.go
@@ -65,7 +65,7 @@
 
 // Run measures all kinds of changes, one after the other.
 func Run(ctx context.Context, o Options) (steps []Step, err error) {
-	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers, Zones: o.Zones})
+	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers})
 	if err != nil {
 		return nil, err
 	}
@@ -199,10 +199,8 @@
 		if r.router.Version() >= seq {
 			return time.Since(from), nil
 		}
-		select {
-		case <-time.After(lookStep):
-		case <-ctx.Done():
-			return 0, ctx.Err()
+		if err := onerouter.Pause(ctx, lookStep); err != nil {
+			return 0, err
 		}
 	}
 	return 0, fmt.Errorf("the real router has not had version %d", seq)
@@ -210,14 +208,7 @@
 
 // idle is a watch on which nothing changes.
 func (r *run) idle(ctx context.Context) (Step, error) {
-	return r.measured("no change", func(*Step) error {
-		select {
-		case <-time.After(r.Idle):
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	})
+	return r.measured("no change", func(*Step) error { return onerouter.Pause(ctx, r.Idle) })
 }
 
 // steady is changes one by one.
@@ -236,7 +227,9 @@
 				return err
 			}
 			s.RealDelay = max(s.RealDelay, took)
-			time.Sleep(max(0, r.Interval-time.Since(at)))
+			if err := onerouter.Pause(ctx, r.Interval-time.Since(at)); err != nil {
+				return err
+			}
 		}
 		s.Changes = r.Steady
 		s.delayed(all)
--- a/internal/scale/onerouter/onerouter.go
+++ b/internal/scale/onerouter/onerouter.go
@@ -105,7 +105,7 @@
 
 // Run plays one run.
 func Run(ctx context.Context, o Options) (result Result, err error) {
-	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers, Zones: o.Zones, Tokens: o.Tokens, TokenTime: o.TokenTime})
+	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers, Tokens: o.Tokens, TokenTime: o.TokenTime})
 	if err != nil {
 		return Result{}, err
 	}
@@ -128,14 +128,14 @@
 	go func() {
 		played <- load.Run(playing, load.Options{Address: router.address, Rate: o.Rate, Seed: o.Seed, Class: className, Prompt: o.Prompt})
 	}()
-	if err := pause(ctx, o.Settle); err != nil {
+	if err := Pause(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
 	before, err := router.Sample()
 	if err != nil {
 		return Result{}, err
 	}
-	if err := pause(ctx, o.Window); err != nil {
+	if err := Pause(ctx, o.Window); err != nil {
 		return Result{}, err
 	}
 	after, err := router.Sample()
@@ -148,8 +148,8 @@
 	return result, nil
 }
 
-// pause waits for so long, or until ctx ends.
-func pause(ctx context.Context, wait time.Duration) error {
+// Pause waits for so long, or until ctx ends.
+func Pause(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-time.After(wait):
 		return nil
--- a/internal/scale/onerouter/table.go
+++ b/internal/scale/onerouter/table.go
@@ -54,9 +54,6 @@
 				workers = append(workers, float64(r.Workers))
 			}
 		}
-		if len(at) < 2 {
-			continue
-		}
 		for _, m := range measures {
 			values := make([]float64, len(at))
 			for i, r := range at {
--- a/internal/scale/registry/registry.go
+++ b/internal/scale/registry/registry.go
@@ -52,16 +52,12 @@
 type Door struct {
 	Address string
 	in, out atomic.Int64
-	calls   atomic.Int64
 	server  *http.Server
 }
 
 // Bytes is what has come in and gone out, above TCP.
 func (d *Door) Bytes() (in, out int64) { return d.in.Load(), d.out.Load() }
 
-// Calls is how many requests have come.
-func (d *Door) Calls() int64 { return d.calls.Load() }
-
 // Open opens a Door.
 func (r *Registry) Open() (*Door, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -69,11 +65,7 @@
 		return nil, err
 	}
 	d := &Door{Address: l.Addr().String()}
-	handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		d.calls.Add(1)
-		r.serve(w, q)
-	})
-	d.server = &http.Server{Handler: handler}
+	d.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	r.mu.Lock()
 	r.doors = append(r.doors, d)
 	r.mu.Unlock()
--- a/internal/scale/toyserver/toyserver.go
+++ b/internal/scale/toyserver/toyserver.go
@@ -8,6 +8,12 @@
 	"time"
 )
 
+// IsReader says whether the server with a number reads, where so large a share of them does: readers are spread evenly over
+// the numbers, and so over whatever else goes by them.
+func IsReader(number int, share float64) bool {
+	return int(float64(number+1)*share) > int(float64(number)*share)
+}
+
 // Queue is requests in the order of their coming before so many places.
 type Queue struct {
 	free []time.Duration // when each place is free
