TestFullHouse waits until the server has put an answered connection to rest

A client reads its answer before net/http calls ConnState with StateIdle; until then the connection counts as one at work. Where the next request came in between, both places of the test were taken, it was refused with 503 as it should be, and the test waited for it at the worker for ever.

Change: the test follows the states of the connections and sends the next request once the one before is idle or closed; the statuses asked for are the same. Waits for a worker end with a failure after 20 s, no longer never.

--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -133,12 +133,73 @@
 	}
 }
 
+// connectionStates follows what net/http does with the connections of a front's clients. A client may read its answer before
+// net/http has put the connection to rest.
+type connectionStates struct {
+	mu      sync.Mutex
+	current map[string]http.ConnState // by the client's address
+	changed chan struct{}             // closed, and made anew, at each change
+}
+
+// followStates sets f up to report the states of its connections. It goes before Serve.
+func followStates(f *Front) *connectionStates {
+	s := &connectionStates{current: make(map[string]http.ConnState), changed: make(chan struct{})}
+	f.server.ConnState = func(c net.Conn, state http.ConnState) {
+		connState(c, state)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.current[c.RemoteAddr().String()] = state
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return s
+}
+
+// waitForRest returns once no request is at work at the client's connection.
+func (s *connectionStates) waitForRest(t *testing.T, client net.Conn) {
+	t.Helper()
+	limit := time.After(eventLimit)
+	for {
+		s.mu.Lock()
+		state, changed := s.current[client.LocalAddr().String()], s.changed
+		s.mu.Unlock()
+		if state == http.StateIdle || state == http.StateClosed {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			t.Fatalf("the connection is %v", state)
+		}
+	}
+}
+
+// eventLimit is how long a test waits for an event that has to come: a hang is a failure.
+const eventLimit = 20 * time.Second
+
+// receive waits for an event.
+func receive[T any](t *testing.T, events <-chan T, what string) T {
+	t.Helper()
+	select {
+	case e := <-events:
+		return e
+	case <-time.After(eventLimit):
+		t.Fatalf("no event: %s", what)
+		panic("unreachable")
+	}
+}
+
 // When all connections are taken, those that say nothing make room for those that ask; where all are at
 // work, the newcomer is told to come back.
 func TestFullHouse(t *testing.T) {
-	go1, at := make(chan struct{}), make(chan struct{}, 9)
-	w, _ := rawWorker(t, func(int) string { at <- struct{}{}; <-go1; return "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" })
+	finish, sent := make(chan struct{}), make(chan struct{}, 9)
+	w, _ := rawWorker(t, func(int) string {
+		sent <- struct{}{}
+		<-finish
+		return "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
+	})
 	f, _ := aimingAt(t, w, time.Hour) // no request may be given up before the next has come, however slow the machine is
+	states := followStates(f)
 	addr := listening(t, f, 2)
 	for range 6 { // none of these has asked for anything yet, or any more
 		dial(t, addr, "")
@@ -148,30 +209,38 @@
 	if res, err := http.ReadResponse(bufio.NewReader(kept), nil); err != nil || res.Close {
 		t.Fatal(res, err)
 	}
-	ask := func(text string) int {
-		res, err := http.ReadResponse(bufio.NewReader(dial(t, addr, text)), nil)
+	states.waitForRest(t, kept)
+	// ask sends a request on a connection of its own and returns its status and that connection.
+	ask := func(text string) (int, net.Conn) {
+		t.Helper()
+		client := dial(t, addr, text)
+		res, err := http.ReadResponse(bufio.NewReader(client), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if res.StatusCode == 503 && res.Header.Get("Retry-After") != "0.250" {
 			t.Errorf("%v", res.Header)
 		}
-		return res.StatusCode
+		return res.StatusCode, client
 	}
-	if code := ask("GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); code != 200 {
-		t.Errorf("among silent ones: %d", code)
+	status, closing := ask("GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if status != 200 {
+		t.Errorf("among silent ones: %d", status)
 	}
+	states.waitForRest(t, closing)
 	first := dial(t, addr, patiently(message("a", length(bodyText), bodyText)))
-	<-at
-	if code := ask(patiently(message("a", length(bodyText), bodyText))); code != 409 { // an open id
-		t.Errorf("the id of an open request: %d", code)
+	receive(t, sent, "the first request at the worker")
+	status, conflicting := ask(patiently(message("a", length(bodyText), bodyText)))
+	if status != 409 { // an open id
+		t.Errorf("the id of an open request: %d", status)
 	}
+	states.waitForRest(t, conflicting)
 	dial(t, addr, patiently(message("b", length(bodyText), bodyText)))
-	<-at
-	if code := ask(patiently(message("c", length(bodyText), bodyText))); code != 503 {
-		t.Errorf("among those at work: %d", code)
+	receive(t, sent, "the second request at the worker")
+	if status, _ := ask(patiently(message("c", length(bodyText), bodyText))); status != 503 {
+		t.Errorf("among those at work: %d", status)
 	}
-	close(go1)
+	close(finish)
 	if res, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
 		t.Errorf("the first: %v %v", res, err)
 	}
