Requests read behind another one are answered before their connection ends

Cause: at a shutdown and in standby net/http closes each connection after the answer at hand (SetKeepAlivesEnabled, Shutdown), and serves nothing that was read behind it.

Change: the front ends its clients' connections itself (lastrequest.go, endAfterAnswers): one between two requests at once, unless a request was read in that moment; others with their answer, which tells so only where nothing was read behind it. What is read after the end was told, or is not kept, is refused with 503 and Retry-After. Shutdown waits until no connection is left. The close that was put off (putOff, lastRequests) is gone with net/http's Shutdown.

Two tests in gone_test.go called what the front no longer calls (Close of a resting connection, SetKeepAlivesEnabled) and now call what it does; what they ask for is the same.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -49,7 +49,10 @@
 	told   time.Time     // the latest line about a full house, and since then:
 	away   int           // turned away
 	closed int           // closed for newcomers
-	ending chan struct{} // closed by leave
+	left   chan struct{} // closed by leave
+	ending atomic.Bool   // connections end with their answer
+	empty  chan struct{} // closed with the last connection; nil: nobody waits for that
+	served chan struct{} // closed when Accept is not called any more
 }
 
 func newClients(l net.Listener, most int, again time.Duration, log *slog.Logger) *clients {
@@ -58,7 +61,7 @@
 		line = "Retry-After: " + seconds(again) + "\r\n"
 	}
 	return &clients{Listener: l, most: max(1, most), again: line, conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log,
-		ending: make(chan struct{})}
+		left: make(chan struct{}), served: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -93,7 +96,7 @@
 		return c, nil
 	}
 	select {
-	case <-l.ending:
+	case <-l.left:
 	default:
 		return nil, err
 	}
@@ -140,10 +143,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	select {
-	case <-l.ending:
+	case <-l.left:
 		return
 	default:
-		close(l.ending)
+		close(l.left)
 	}
 	if t, ok := l.Listener.(*net.TCPListener); ok {
 		_ = t.SetDeadline(time.Now())
@@ -262,16 +265,21 @@
 	l.told, l.away, l.closed = time.Now(), 0, 0
 }
 
-// refusalText is the answer to a client whose connection there is no room for.
-func refusalText(again string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\n" + again + "Content-Length: 0\r\nConnection: close\r\n\r\n"
+// refusalText is the answer to a request of which nothing was sent on, such as one that there is no room for. last has it
+// tell the end of the connection.
+func refusalText(again string, last bool) string {
+	text := "HTTP/1.1 503 Service Unavailable\r\n" + again + "Content-Length: 0\r\n"
+	if last {
+		text += "Connection: close\r\n"
+	}
+	return text + "\r\n"
 }
 
 // turnAway refuses whatever a connection brings: nothing of it has been read, let alone sent on.
 func turnAway(c net.Conn, again string) {
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(turnedTime))
-	if _, err := io.WriteString(c, refusalText(again)); err != nil {
+	if _, err := io.WriteString(c, refusalText(again, true)); err != nil {
 		return
 	}
 	if t, ok := c.(*net.TCPConn); ok {
@@ -306,6 +314,9 @@
 	owes  atomic.Bool  // the answer to the request at hand
 	ends  lastRequest
 	came  atomic.Int64 // when the first byte of the head at hand had come at the latest, from epoch
+	// Of the requests that were read behind the one at hand, and whether that one's answer is whole.
+	behind   atomic.Int32
+	finished atomic.Bool
 
 	// Owned by Read, which net/http calls one at a time.
 	buf     []byte       // read and not handed over
@@ -315,7 +326,7 @@
 	chunks  *chunkScan   // of a body whose length is not told
 	plain   bool         // all that comes is handed over: the connection ends with this request
 	refused bool         // nothing more is: a head could not be trusted
-	tooMuch bool         // nothing more is once the answer is out: more came behind the request than is kept
+	tooMuch bool         // nothing more is taken from the socket: more came behind the request than is kept
 	heads   atomic.Int32 // that were whole
 }
 
@@ -364,11 +375,13 @@
 		case http.StateIdle: // nobody reads just now
 			c.owes.Store(false)
 			c.ends.answered(len(c.buf) > 0)
-			c.is(idle)
+			if c.is(idle) && c.from.ending.Load() {
+				c.closeIfResting()
+			}
 		case http.StateActive:
 			c.is(atWork)
 		case http.StateClosed:
-			_ = c.shut()
+			_ = c.Close()
 		}
 	}
 }
@@ -412,6 +425,9 @@
 			if !c.took(c.ready) {
 				return 0, net.ErrClosed
 			}
+			if c.body == 0 {
+				c.countBehind()
+			}
 			continue
 		case c.body > 0:
 			n, err := c.Conn.Read(p[:min(int64(len(p)), c.body)])
@@ -429,18 +445,16 @@
 			}
 			continue
 		case c.owes.Load():
-			if err := c.fill(); err != nil {
+			if err := c.readAhead(); err != nil {
 				return 0, err
 			}
-			if c.tooMuch = c.tooMuch || len(c.buf) > aheadMost; c.tooMuch {
-				c.buf = nil
-			}
 			continue
-		case c.tooMuch:
-			return 0, io.EOF
 		}
 		if end := headEnd(c.buf); end > 0 {
 			f, ok := requestFraming(c.buf[:end])
+			if c.tooMuch && (f.chunked || int64(len(c.buf)-end) < f.length) {
+				return 0, c.endHere()
+			}
 			c.heads.Add(1)
 			if !c.is(atWork) {
 				return 0, net.ErrClosed
@@ -450,14 +464,22 @@
 				continue
 			}
 			c.owes.Store(true)
+			c.finished.Store(false)
 			c.came.Store(int64(c.first.Sub(epoch)))
 			c.ready, c.body = end, f.length
 			if f.chunked {
 				c.chunks = &chunkScan{}
 			}
 			c.half.Store(c.body > 0 || f.chunked)
+			c.behind.Store(0)
+			if !c.half.Load() {
+				c.countBehind()
+			}
 			continue
 		}
+		if c.tooMuch {
+			return 0, c.endHere()
+		}
 		if len(c.buf) > maxHead { // net/http answers it with 431
 			c.plain = true
 			continue
@@ -481,6 +503,36 @@
 	return err
 }
 
+// readAhead reads what comes behind the request at hand before its answer, and keeps so much of it. It goes on beyond that:
+// the end of what a client sends is seen only behind all that was sent before.
+func (c *clientConn) readAhead() error {
+	if c.tooMuch {
+		junk := make([]byte, headStep)
+		for {
+			if _, err := c.take(junk); err != nil {
+				return err
+			}
+		}
+	}
+	err := c.fill()
+	if c.tooMuch = len(c.buf) > aheadMost; c.tooMuch {
+		c.buf = c.buf[:aheadMost]
+	}
+	c.countBehind()
+	return err
+}
+
+// countBehind notes what was read behind the request at hand, once that was handed over or is ready to be.
+func (c *clientConn) countBehind() { c.behind.Store(int32(pendingRequests(c.buf[c.ready:]))) }
+
+// endHere ends what is handed over where the rest of a request was not kept, and refuses that request and those behind it.
+func (c *clientConn) endHere() error {
+	c.refused = true
+	c.behind.Store(int32(pendingRequests(c.buf)))
+	c.refuseBehind()
+	return io.EOF
+}
+
 // takeChunks readies what is at hand of a chunked body. One that makes no sense is net/http's to refuse. It says no where
 // the connection was closed for a newcomer before the end came.
 func (c *clientConn) takeChunks() bool {
@@ -490,6 +542,9 @@
 	}
 	if end || err != nil {
 		c.chunks = nil
+		if !c.plain {
+			c.countBehind()
+		}
 		return c.half.CompareAndSwap(true, false)
 	}
 	return true
--- a/internal/httpfront/deadline_test.go
+++ b/internal/httpfront/deadline_test.go
@@ -96,7 +96,7 @@
 			go readerOnce(there, told)
 			return here, nil
 		}
-		conn := &clientConn{}
+		conn := &clientConn{from: newClients(nil, 1, 0, quiet)}
 		conn.came.Store(int64(time.Since(epoch)))
 		time.Sleep(slow)
 		r := httptest.NewRequest(http.MethodPost, PathChat, strings.NewReader(bodyText)).WithContext(withConn(t.Context(), conn))
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -118,7 +118,7 @@
 	if pages != nil {
 		handler = pages(f)
 	}
-	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: firstWord, IdleTimeout: idleTime,
+	f.server = &http.Server{Handler: announcing(handler), ReadHeaderTimeout: firstWord, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: quiet, ConnContext: withConn, ConnState: connState}
 	return f
 }
@@ -130,8 +130,10 @@
 		maxConns = f.most
 	}
 	f.clients = newClients(l, maxConns, f.core.Busy(), f.log)
+	f.clients.ending.Store(f.standby || f.ending)
 	held := f.clients
 	f.mu.Unlock()
+	defer close(held.served)
 	err := f.server.Serve(held)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -166,7 +168,9 @@
 		return
 	}
 	f.standby = on
-	f.server.SetKeepAlivesEnabled(!on)
+	if f.clients != nil {
+		f.clients.endAfterAnswers(on)
+	}
 	if on {
 		time.AfterFunc(emptyAfter, f.empty)
 	}
@@ -198,8 +202,9 @@
 	taken, held := f.handed, f.clients
 	f.mu.Unlock()
 	f.heirs.set(heir)
-	// Connections between two requests are ended now; the others are when their answer is out.
-	f.server.SetKeepAlivesEnabled(false)
+	if held != nil {
+		held.endAfterAnswers(true)
+	}
 	if f.HandOver > 0 {
 		defer time.AfterFunc(f.HandOver, func() {
 			f.log.Info("handing streams over")
@@ -210,13 +215,10 @@
 	case <-time.After(closeAfter):
 	case <-ctx.Done():
 	}
-	if err := f.server.Shutdown(ctx); err != nil {
-		f.log.Warn("streams cut at the end", "err", err)
-		f.server.Close()
-	}
-	if held != nil {
-		held.lastRequests(ctx)
+	if held != nil && !held.shutdown(ctx) {
+		f.log.Warn("streams cut at the end", "err", ctx.Err())
 	}
+	f.server.Close()
 	if taken != nil {
 		taken.end(ctx)
 	}
@@ -236,9 +238,6 @@
 		http.Error(w, "no such page", http.StatusNotFound)
 		return
 	}
-	if len(r.TransferEncoding) > 0 { // its connection isn't followed any further, see clientConn
-		w.Header().Set("Connection", "close")
-	}
 	reserved := int64(maxBody)
 	if r.ContentLength >= 0 {
 		reserved = min(reserved, r.ContentLength)
@@ -297,7 +296,7 @@
 			return true
 		}
 	}
-	r = r.WithContext(context.WithValue(here, exchangeKey{}, taken{x, q, http.NewResponseController(w), begun}))
+	r = r.WithContext(context.WithValue(here, exchangeKey{}, taken{x, q, http.NewResponseController(w), begun, w.Header()}))
 	f.proxy.ServeHTTP(w, r)
 }
 
@@ -533,6 +532,7 @@
 	q      decide.Request
 	client *http.ResponseController
 	begun  func() // the answer has begun
+	answer http.Header
 }
 
 // roundTripper hands a request to the core and makes a response of its final answer.
@@ -544,6 +544,10 @@
 		return nil, errors.New("a request that the handler has not read")
 	}
 	a := t.f.core.Serve(out.Context(), got.q, got.x)
+	conn, _ := out.Context().Value(connKey{}).(*clientConn)
+	if conn != nil { // much may have come, and the shutdown begun, since the request was taken
+		conn.announceEnd(got.answer, out)
+	}
 	res := &http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: out,
 		Header: http.Header{}, Body: http.NoBody}
 	switch a.Verdict {
@@ -557,8 +561,8 @@
 			}
 		}
 		res.Body = &relay{Stream: s, ended: a.Ended, client: got.client, writes: t.f.writes, over: t.f.over, heirs: &t.f.heirs, log: t.f.log}
-		if c, ok := out.Context().Value(connKey{}).(*clientConn); ok && out.ProtoAtLeast(1, 1) {
-			res.Body.(*relay).conn = c
+		if out.ProtoAtLeast(1, 1) {
+			res.Body.(*relay).conn = conn
 		}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -253,7 +253,7 @@
 	whole := "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 	client, c := accepted(whole)
 	read(c, whole) // net/http has its head, and still calls the connection idle
-	c.Close()
+	c.closeIfResting()
 	if c.left() {
 		t.Error("closed under a request that was read")
 	}
@@ -267,7 +267,7 @@
 	}
 
 	client, c = accepted(whole)
-	c.Close()
+	c.closeIfResting()
 	if n, err := c.Read(make([]byte, 9)); n > 0 || !errors.Is(err, net.ErrClosed) {
 		t.Errorf("%d bytes were read after the close: %v", n, err)
 	}
@@ -349,7 +349,7 @@
 	var armed atomic.Bool
 	go f.Serve(hookedListener{l, func() {
 		if armed.CompareAndSwap(true, false) {
-			f.server.SetKeepAlivesEnabled(false) // as Shutdown does first
+			f.clients.endAfterAnswers(true) // as Shutdown does first
 			go func() {
 				f.Shutdown(t.Context(), "")
 				close(ended)
--- a/internal/httpfront/lastrequest.go
+++ b/internal/httpfront/lastrequest.go
@@ -1,28 +1,30 @@
 package httpfront
 
 // This file owns the end of a client's connection: a request that has been read is answered before its connection closes,
-// whoever closes it. Reading from the socket and closing exclude each other, so that what comes in the very moment of the
-// close is either not read (and its client learns that by the reset) or answered.
+// whoever closes it, and so are those that were read behind it. Reading from the socket and closing exclude each other, so
+// that what comes in the very moment of the close is either not read (and its client learns that by the reset) or answered.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// evictTime is how long the refusal that an evicted client gets may take to write. It fits a socket's buffer.
+// evictTime is how long refusals before a close may take to write. They fit a socket's buffer.
 const evictTime = 50 * time.Millisecond
 
 // lastRequest is what a connection's end depends on.
 type lastRequest struct {
 	mu      sync.Mutex
-	reading bool          // bytes of a request were read and it has not been answered
-	put     chan struct{} // closed with the connection; set where its close was put off for a request, else nil
+	reading bool // bytes of a request were read and it has not been answered
 	closed  bool
 }
 
@@ -39,23 +41,6 @@
 	r.mu.Unlock()
 }
 
-// putOff says that the connection must not close yet, as a request on it is unanswered. It says so once.
-func (r *lastRequest) putOff() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.reading || r.closed || r.put != nil {
-		return false
-	}
-	r.put = make(chan struct{})
-	return true
-}
-
-func (r *lastRequest) isPutOff() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.put != nil
-}
-
 // close has nothing more read. It says whether it is the first to, and whether a request is unanswered.
 func (r *lastRequest) close() (first, unanswered bool) {
 	r.mu.Lock()
@@ -65,6 +50,17 @@
 	return first, r.reading
 }
 
+// closeUnread does the same unless a request is unanswered. It says whether it was the one to close.
+func (r *lastRequest) closeUnread() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading || r.closed {
+		return false
+	}
+	r.closed = true
+	return true
+}
+
 // take reads from the socket, unless the connection was closed.
 func (c *clientConn) take(p []byte) (n int, err error) {
 	socket, ok := c.Conn.(syscall.Conn)
@@ -103,34 +99,37 @@
 	return n, nil
 }
 
-// Close implements net.Conn for net/http, which calls a connection idle until it has read a head, and closes idle ones at a
-// shutdown: where a request has been read by then, the connection closes with its answer.
+// Close implements net.Conn. What was read behind an answer that is whole, and will not be served any more, is refused.
 func (c *clientConn) Close() error {
-	if c.ends.putOff() {
-		return nil
-	}
-	return c.shut()
-}
-
-// shut closes the connection.
-func (c *clientConn) shut() error {
 	first, _ := c.ends.close()
 	if !first {
 		return net.ErrClosed
 	}
+	if c.finished.Load() {
+		c.refuseBehind()
+	}
 	return c.release()
 }
 
+// closeIfResting closes a connection that was left between two requests. Where a request has been read in that very moment,
+// the connection stays and ends with the answer.
+func (c *clientConn) closeIfResting() {
+	if c.ends.closeUnread() {
+		_ = c.release()
+	}
+}
+
 // release gives the connection's place and socket back.
 func (c *clientConn) release() error {
-	c.from.mu.Lock()
-	delete(c.from.conns, c)
-	c.from.mu.Unlock()
-	err := c.Conn.Close()
-	if c.ends.put != nil { // it is set before the close only
-		close(c.ends.put)
+	l := c.from
+	l.mu.Lock()
+	delete(l.conns, c)
+	if len(l.conns) == 0 && l.empty != nil {
+		close(l.empty)
+		l.empty = nil
 	}
-	return err
+	l.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // evict closes the connection for a newcomer. Where a request on it has been read in part, or in that very moment, its
@@ -141,27 +140,116 @@
 		return
 	}
 	if unanswered {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictTime))
-		_, _ = io.WriteString(c.Conn, refusalText(c.from.again))
+		c.refuse(max(1, int(c.behind.Swap(0))))
 	}
 	_ = c.release()
 }
 
-// lastRequests waits until the connections whose close was put off are closed. Those that are left when ctx ends are cut.
-func (l *clients) lastRequests(ctx context.Context) {
+// refuseBehind refuses the requests that were read behind the one at hand: nothing of them has been sent on.
+func (c *clientConn) refuseBehind() {
+	if n := int(c.behind.Swap(0)); n > 0 {
+		c.refuse(n)
+	}
+}
+
+// refuse writes so many refusals, of which the last tells the end of the connection.
+func (c *clientConn) refuse(requests int) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictTime))
+	_, _ = io.WriteString(c.Conn, strings.Repeat(refusalText(c.from.again, false), requests-1)+refusalText(c.from.again, true))
+}
+
+// pendingRequests counts the requests in what was read, of which at least the first line has come.
+func pendingRequests(text []byte) int {
+	for n := 0; ; n++ {
+		end := headEnd(text)
+		if end == 0 {
+			if bytes.IndexByte(text, '\n') >= 0 {
+				n++
+			}
+			return n
+		}
+		f, ok := requestFraming(text[:end])
+		if !ok || f.chunked || int64(len(text)-end) < f.length { // where the next one begins is not known
+			return n + 1
+		}
+		text = text[end+int(f.length):]
+	}
+}
+
+// announceEnd tells the client that its connection ends with this answer, where it does. It does not where more requests have
+// been read: they are answered first.
+func (c *clientConn) announceEnd(answer http.Header, r *http.Request) {
+	chunked := len(r.TransferEncoding) > 0 // net/http might see its end elsewhere than chunkScan does
+	if chunked || c.from.ending.Load() && c.behind.Load() == 0 {
+		answer.Set("Connection", "close")
+	} else {
+		answer.Del("Connection")
+	}
+}
+
+// announcing serves with next and has each answer tell whether its connection ends. Guards against net/http's own ways to end
+// connections (Shutdown, SetKeepAlivesEnabled), which serve nothing that was read behind an answer.
+func announcing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*clientConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.announceEnd(w.Header(), r)
+		next.ServeHTTP(w, r)
+		// Not reached by an answer that broke off. Without chunks the close is the end of the answer.
+		c.finished.Store(r.ProtoAtLeast(1, 1))
+	})
+}
+
+// endAfterAnswers has each connection end with its answer, or with the last one where more requests have been read; those that
+// stand idle end now. Off has them stay open again.
+func (l *clients) endAfterAnswers(on bool) {
+	l.ending.Store(on)
+	if !on {
+		return
+	}
 	l.mu.Lock()
-	var late []*clientConn
+	var resting []*clientConn
 	for c := range l.conns {
-		if c.ends.isPutOff() {
-			late = append(late, c)
+		if c.state.Load() == idle {
+			resting = append(resting, c)
 		}
 	}
 	l.mu.Unlock()
-	for _, c := range late {
-		select {
-		case <-c.ends.put:
-		case <-ctx.Done():
-			_ = c.shut()
-		}
+	for _, c := range resting {
+		c.closeIfResting()
+	}
+}
+
+// shutdown takes no new connections and waits for those that are open. It says no where ctx ends first.
+func (l *clients) shutdown(ctx context.Context) bool {
+	_ = l.Close()
+	select {
+	case <-l.served: // what was taken before is counted by now
+	case <-ctx.Done():
+		return false
+	}
+	return l.drained(ctx)
+}
+
+// drained waits until no connection is left, once no new one is taken. It says no where ctx ends first.
+func (l *clients) drained(ctx context.Context) bool {
+	l.mu.Lock()
+	if len(l.conns) == 0 {
+		l.mu.Unlock()
+		return true
+	}
+	if l.empty == nil {
+		l.empty = make(chan struct{})
+	}
+	empty := l.empty
+	l.mu.Unlock()
+	select {
+	case <-empty:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/internal/httpfront/pipeline_test.go
@@ -0,0 +1,243 @@
+package httpfront
+
+// Requests that are read behind another one on their connection, where that connection ends: each of them gets an answer.
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// streamingWorker is a worker that reads prompts at once. It sends the first event of each stream, reports that, and ends the
+// stream when it is let go on.
+func streamingWorker(t *testing.T) (addr string, begun chan struct{}, goOn chan struct{}) {
+	t.Helper()
+	begun, goOn = make(chan struct{}, 9), make(chan struct{}, 9)
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		switch {
+		case r.Method != http.MethodPost: // a release
+		case calls.Add(1)%2 == 1:
+			w.WriteHeader(http.StatusAccepted)
+			io.WriteString(w, "{}")
+		default:
+			io.WriteString(w, "data: {}\n\n")
+			http.NewResponseController(w).Flush()
+			begun <- struct{}{}
+			select {
+			case <-goOn:
+			case <-r.Context().Done():
+			}
+			io.WriteString(w, "data: [DONE]\n\n")
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), begun, goOn
+}
+
+const streamText = "data: {}\n\ndata: [DONE]\n\n"
+
+// servedAt serves f at an address and reports each read of a client's socket.
+func servedAt(t *testing.T, f *Front) (addr string, reads chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	states := followStates(f)
+	reads = make(chan struct{}, 1000)
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(hookedListener{l, func() { reads <- struct{}{} }}, 9) }()
+	t.Cleanup(func() {
+		f.server.Close()
+		if err := receive(t, served, "the end of Serve"); err != nil {
+			t.Error(err)
+		}
+	})
+	first := dial(t, l.Addr().String(), "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	states.waitForRest(t, first) // Serve has begun
+	return l.Addr().String(), reads
+}
+
+// soleConn is the one connection that the front has.
+func soleConn(t *testing.T, f *Front) *clientConn {
+	t.Helper()
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	if len(f.clients.conns) != 1 {
+		t.Fatalf("%d connections", len(f.clients.conns))
+	}
+	for c := range f.clients.conns {
+		return c
+	}
+	return nil
+}
+
+// awaitBehind returns once so many requests were read behind the one at hand.
+func awaitBehind(t *testing.T, c *clientConn, reads <-chan struct{}, requests int32) {
+	t.Helper()
+	for c.behind.Load() < requests {
+		receive(t, reads, "a read of the client's socket")
+	}
+}
+
+// shutDown shuts f down. ended is closed with its end.
+func shutDown(t *testing.T, f *Front) (ended chan struct{}) {
+	ended = make(chan struct{})
+	go func() {
+		f.Shutdown(t.Context(), "")
+		close(ended)
+	}()
+	return ended
+}
+
+func readStream(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(res.Body); res.StatusCode != http.StatusOK || string(text) != streamText || err != nil {
+		t.Fatalf("%v %q %v", res, text, err)
+	}
+	return res
+}
+
+func expectEnd(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	if b, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("%q %v, not the connection's end", b, err)
+	}
+}
+
+// The end of the process begins while the first of three requests in one write is at a worker: all three are served, and only
+// the last answer tells the connection's end.
+func TestRequestsReadBehindAnotherAreServedAtAShutdown(t *testing.T) {
+	addr, begun, goOn := streamingWorker(t)
+	f, _ := aimingAt(t, addr, time.Hour)
+	at, reads := servedAt(t, f)
+	var texts []string
+	for _, id := range []string{"one", "two", "three"} {
+		texts = append(texts, patiently(message(id, length(bodyText), bodyText)))
+	}
+	client := dial(t, at, strings.Join(texts, ""))
+	receive(t, begun, "the first stream")
+	awaitBehind(t, soleConn(t, f), reads, 2)
+	f.clients.endAfterAnswers(true) // as Shutdown does first
+	ended := shutDown(t, f)
+	in := bufio.NewReader(client)
+	for n := range texts {
+		if n > 0 {
+			receive(t, begun, "the next stream")
+		}
+		goOn <- struct{}{}
+		if res := readStream(t, in); res.Close != (n == len(texts)-1) {
+			t.Errorf("answer %d tells the end: %v", n+1, res.Close)
+		}
+	}
+	expectEnd(t, in)
+	receive(t, ended, "the end of Shutdown")
+}
+
+// A request that is read after the answer before it has told the connection's end is refused; whole or not, as its client
+// can't know how much of it was read.
+func TestARequestReadAfterTheEndWasToldIsRefused(t *testing.T) {
+	second := patiently(message("two", length(bodyText), bodyText))
+	for name, behind := range map[string]string{"whole": second, "two": second + second, "half": second[:len(second)-3]} {
+		addr, begun, goOn := streamingWorker(t)
+		f, _ := aimingAt(t, addr, time.Hour)
+		at, reads := servedAt(t, f)
+		f.clients.endAfterAnswers(true) // as Shutdown does first
+		client := dial(t, at, patiently(message("one", length(bodyText), bodyText)))
+		in := bufio.NewReader(client)
+		receive(t, begun, name)
+		ended := shutDown(t, f)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil || !res.Close {
+			t.Fatalf("%s: %v %v, its connection ends", name, res, err)
+		}
+		want := strings.Count(behind, "POST ")
+		io.WriteString(client, behind)
+		awaitBehind(t, soleConn(t, f), reads, int32(want))
+		goOn <- struct{}{}
+		if text, err := io.ReadAll(res.Body); string(text) != streamText || err != nil {
+			t.Errorf("%s: %q %v", name, text, err)
+		}
+		for n := range want {
+			res, err := http.ReadResponse(in, nil)
+			if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || res.Close != (n == want-1) {
+				t.Errorf("%s: %v %v, it was read", name, res, err)
+			}
+		}
+		expectEnd(t, in)
+		receive(t, ended, "the end of Shutdown")
+	}
+}
+
+// recordedConn brings the given bytes, and keeps what is written.
+type recordedConn struct {
+	bytesConn
+	written *strings.Builder
+}
+
+func (c recordedConn) Write(p []byte) (int, error)      { return c.written.Write(p) }
+func (c recordedConn) SetWriteDeadline(time.Time) error { return nil }
+func (c recordedConn) Close() error                     { return nil }
+
+// More requests come behind one than are kept: what is whole among the kept is handed over, the next is refused, and nothing
+// that was left out in between is taken for a part of it.
+func TestWhatIsNotKeptIsRefused(t *testing.T) {
+	one := message("one", length(bodyText), bodyText)
+	for name, x := range map[string]struct {
+		behind  string
+		refused bool
+	}{
+		"requests": {strings.Repeat(one, 100), true},
+		"a body":   {message("two", length(strings.Repeat("x", 2*aheadMost)), strings.Repeat("x", 2*aheadMost)), true},
+		"noise":    {strings.Repeat("x", 3*aheadMost), false},
+	} {
+		var written strings.Builder
+		held := newClients(nil, 1, 250*time.Millisecond, quiet)
+		c := &clientConn{Conn: recordedConn{bytesConn{in: strings.NewReader(one + x.behind), piece: 1 << 20}, &written}, from: held}
+		held.conns[c] = true
+		if _, err := io.ReadFull(c, make([]byte, len(one))); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(make([]byte, 1)); n > 0 || err != io.EOF { // net/http looks whether the client leaves
+			t.Errorf("%s: %d bytes before the answer, %v", name, n, err)
+		}
+		whole := 0
+		for {
+			connState(c, http.StateIdle)
+			text := make([]byte, len(one))
+			if _, err := io.ReadFull(c, text); err != nil {
+				if !errors.Is(err, io.EOF) {
+					t.Errorf("%s: %v", name, err)
+				}
+				break
+			}
+			if whole++; string(text) != one {
+				t.Fatalf("%s: %q", name, text)
+			}
+		}
+		if kept := strings.Count(x.behind[:aheadMost], one); whole != kept {
+			t.Errorf("%s: %d requests handed over, %d were kept", name, whole, kept)
+		}
+		in := bufio.NewReader(strings.NewReader(written.String()))
+		res, err := http.ReadResponse(in, nil)
+		if refused := err == nil; refused != x.refused {
+			t.Errorf("%s: %v %v", name, res, err)
+		}
+		if x.refused && (res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "0.250" || !res.Close) {
+			t.Errorf("%s: %v", name, res)
+		}
+	}
+}
