httpfront: front.go and clients.go in files with one job each, shorter functions

Moved as they were: reading a request (request.go), bodies (body.go), readiness, standby and shutdown (lifecycle.go), streams (relay.go), a client's connection (clientconn.go) and the framing of heads (framing.go).

--- /dev/null
+++ b/internal/httpfront/framing.go
@@ -0,0 +1,88 @@
+package httpfront
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// This file reads the framing of heads, of requests and answers alike: how long the body behind one is.
+
+// headEnd is the length of the head at the start of text with the empty line that ends it, 0 where it
+// has not come yet. A head that begins with an empty line is all of that line.
+func headEnd(text []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(text[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := text[at : at+i]
+		at += i + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return at
+		}
+	}
+}
+
+// framing says how the body behind a head ends.
+type framing struct {
+	length  int64
+	told    bool // there was a length
+	chunked bool
+}
+
+// fields reads the framing of a head's fields, the lines after its first. Whatever two readers could
+// read in two ways is refused: a length and an encoding at once, a length or encoding that comes twice
+// or is odd, lines that go on in the next, spaces before the colon, a lone CR. keep, if set, is asked of
+// each whole line whether it stays; the lines that do are appended to out.
+func fields(head []byte, keep func(name []byte) bool, out []byte) (framing, []byte, bool) {
+	var f framing
+	encoded := 0
+	for len(head) > 0 {
+		i := bytes.IndexByte(head, '\n')
+		whole := head[:i+1]
+		line := bytes.TrimSuffix(head[:i], []byte("\r"))
+		head = head[i+1:]
+		if len(line) == 0 {
+			out = append(out, whole...)
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r") {
+			return f, out, false
+		}
+		if keep != nil && !keep(name) {
+			continue
+		}
+		if bytes.IndexByte(value, '\r') >= 0 {
+			return f, out, false
+		}
+		out = append(out, whole...)
+		value = bytes.Trim(value, " \t")
+		switch {
+		case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
+			n, err := strconv.ParseUint(string(value), 10, 63)
+			if err != nil || f.told {
+				return f, out, false
+			}
+			f.length, f.told = int64(n), true
+		case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if encoded++; encoded > 1 || !bytes.EqualFold(value, []byte("chunked")) {
+				return f, out, false
+			}
+			f.chunked = true
+		}
+	}
+	return f, out, !(f.told && f.chunked)
+}
+
+// requestFraming reads the framing of a request's head.
+func requestFraming(head []byte) (framing, bool) {
+	i := bytes.IndexByte(head, '\n')
+	first := bytes.TrimSuffix(head[:i], []byte("\r"))
+	if len(first) == 0 || bytes.IndexByte(first, '\r') >= 0 {
+		return framing{}, false
+	}
+	f, _, ok := fields(head[i+1:], nil, nil)
+	// An encoding is no part of HTTP/1.0 and is passed over there.
+	return f, ok && (!f.chunked || bytes.HasSuffix(first, []byte(" HTTP/1.1")))
+}
