SIGHUP puts settings in force without a restart, where the operator wants that

Only discovery's address and the operator's descriptions could change while a router runs.

Change: decide.Router.Apply takes settings whole or not at all (decide/settings.go); requests under way keep the class that they came with, servers' times and room follow at once. core.Apply keeps what the core reads itself in step with it. SIGHUP (cmd/rowanyard/reload.go) compares the platform's file with what is in force; what names, clocks and sockets rest on is refused with its key, and the old settings hold. The discovery watch and the grant fronts read the settings in force in place of copies of their own.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -1,5 +1,5 @@
-// Command rowanyard is one real router. This file owns configuration and wiring, the limits of the
-// process and its end. It must never decide, nor speak to a client or a worker itself.
+// Command rowanyard is one real router. This file owns its wiring and its end. It must never decide, nor speak to a client
+// or a worker itself.
 //
 // The platform's file is named by ROUTER_CONFIG. An operator's own, which turns the second front on,
 // is named by ROWANYARD_OPERATOR (see deploy/operator.json); without it only the platform's port is open.
@@ -8,8 +8,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -18,8 +16,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,36 +36,9 @@
 	"rowanyard/internal/operator"
 	"rowanyard/internal/reports"
 	"rowanyard/internal/setup"
-	"rowanyard/internal/wire"
 )
 
-// config is the file that ROUTER_CONFIG names.
-type config struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Operator  string `json:"operator"` // the operators' own address, "" = none
-	Seed      string `json:"seed"`
-	Limits    struct {
-		Cores    float64 `json:"cores"`
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int     `json:"sockets"`
-	} `json:"limits"`
-	Known    httpfront.List  `json:"known"`
-	Settings json.RawMessage `json:"settings"`
-}
-
 const (
-	memoryShare  = 0.7  // of the memory limit: where the collector begins to work harder
-	bodiesShare  = 0.12 // of it: what clients' bodies may hold at once, and
-	lineShare    = 0.04 // a line of discovery
-	clientsShare = 0.45 // of the sockets, in equal parts for the fronts that are on
-	workersShare = 0.4  // ... the rest is for discovery, operators, logs, the runtime and those that are turned away:
-	spareFiles   = 40   // no less than this
-	defaultMB    = 192
-	defaultFiles = 1024
-	twoShare     = 0.5                     // of the limits for each of two processes of the router
-	shareLook    = 100 * time.Millisecond  // how often the other process is looked for
 	firstList    = 1500 * time.Millisecond // a process that takes over waits so long for discovery's first word,
 	firstWord    = 250 * time.Millisecond  // ... one that nobody serves beside so long
 	leastCallers = 4                       // operators that are listened to at once, or
@@ -97,88 +66,6 @@
 	return l
 }
 
-// read reads the file that ROUTER_CONFIG names.
-func read() (config, error) {
-	path := os.Getenv("ROUTER_CONFIG")
-	if path == "" {
-		return config{}, errors.New("ROUTER_CONFIG is not set")
-	}
-	return readFile(path)
-}
-
-func readFile(path string) (config, error) {
-	var c config
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return c, fmt.Errorf("ROUTER_CONFIG: %w", err)
-	}
-	if err := json.Unmarshal(text, &c); err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
-}
-
-// load reads the configuration; at the start the environment has the last word on what it names.
-func load() (config, wire.Site, uint64, error) {
-	c, err := read()
-	fail := func(err error) (config, wire.Site, uint64, error) { return c, wire.Site{}, 0, err }
-	if err != nil {
-		return fail(err)
-	}
-	path := os.Getenv("ROUTER_CONFIG")
-	for name, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.Operator} {
-		if v := os.Getenv(name); v != "" {
-			*to = v
-		}
-	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "operator": c.Operator} {
-		if _, _, err := net.SplitHostPort(addr); err != nil && (addr != "" || name != "operator") {
-			return fail(fmt.Errorf("%s: %s: %w", path, name, err))
-		}
-	}
-	seed, err := strconv.ParseUint(c.Seed, 16, 64)
-	if err != nil {
-		return fail(fmt.Errorf("%s: seed: %q is no hex number", path, c.Seed))
-	}
-	site, err := wire.ParseSite(c.Settings)
-	if err != nil {
-		return fail(fmt.Errorf("%s: settings: %w", path, err))
-	}
-	return c, site, seed, nil
-}
-
-// reread reads the operator's file again and takes its descriptions for requests that begin from now on. One that is
-// bad, or any of its files, leaves the old one in force. All else in it holds until a restart.
-func reread(memory float64, known func(string) bool, routes *describe.Routes, log *slog.Logger) {
-	path := os.Getenv("ROWANYARD_OPERATOR")
-	if path == "" {
-		return
-	}
-	_, next, err := setup.Read(path, memory, known)
-	if err != nil {
-		log.Error("new operator's file is not taken, the old one holds", "err", err)
-		return
-	}
-	routes.Replace(next)
-	log.Info("new descriptions", "file", path)
-}
-
-// follow reads the configuration again and moves the watch to the discovery that it names now. What
-// the environment says of that was fixed at the start and does not count any more. All else holds
-// until a restart.
-func follow(d *httpfront.Discovery, log *slog.Logger) {
-	c, err := read()
-	if err == nil {
-		_, _, err = net.SplitHostPort(c.Discovery)
-	}
-	if err != nil {
-		log.Error("new configuration is not taken, the old one holds", "err", err)
-		return
-	}
-	log.Info("new configuration", "discovery", c.Discovery)
-	d.Follow(c.Discovery, 0)
-}
-
 // listen listens at addr, where another process of this router may listen too: the one that takes over.
 func listen(addr string) (net.Listener, error) {
 	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
@@ -191,53 +78,6 @@
 	return shared.Listen(context.Background(), "tcp", addr)
 }
 
-// budget is what the process may take of the router's limits: a part of it while two processes run.
-type budget struct {
-	memory, files float64
-	fronts        int
-	front         *httpfront.Front
-	workers       *httpfront.Workers
-}
-
-func (b budget) clients(part float64) int {
-	return max(1, int(clientsShare*b.shared(part))/b.fronts)
-}
-
-// shared is the descriptors that clients and workers have their shares of.
-func (b budget) shared(part float64) float64 {
-	return max(1, min(part*b.files, (part*b.files-spareFiles)/(clientsShare+workersShare)))
-}
-
-// take holds the process to a part of the limits from now on.
-func (b budget) take(part float64) {
-	debug.SetMemoryLimit(int64(memoryShare * part * b.memory))
-	b.workers.Limit(max(1, int(workersShare*b.shared(part))))
-	b.front.Limit(b.clients(part))
-	b.front.Bodies.Store(int64(bodiesShare * part * b.memory))
-}
-
-// share holds the process to its part while another one of the router runs beside it, older or newer.
-func (b budget) share(ctx context.Context, desk *operator.Desk, log *slog.Logger) {
-	part := 1.0
-	for t := time.NewTicker(shareLook); ; {
-		now := 1.0
-		if _, newer := desk.Successor(); newer || !desk.Share.Alone() {
-			now = twoShare
-		}
-		if now != part {
-			log.Info("another process of this router", "runs", now < 1, "part_of_limits", now)
-			part = now
-			b.take(part)
-		}
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
-	}
-}
-
 // await waits for discovery's first word before clients come: known may be old, and what discovery had to tell by then
 // counts as told, starts of workers above all. Nobody serves while a process that is alone waits: it soon begins
 // with what it has.
@@ -254,18 +94,6 @@
 	}
 }
 
-// descriptors is how many the process may open: what its configuration says, or less where the system allows less.
-func descriptors(asked int) int {
-	if asked <= 0 {
-		asked = defaultFiles
-	}
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(asked) {
-		return int(limit.Cur)
-	}
-	return asked
-}
-
 func run(log *slog.Logger) error {
 	// Guards against SIGHUP ending the program; one that comes while another is handled is kept.
 	reload := make(chan os.Signal, 1)
@@ -340,15 +168,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	discovery := httpfront.NewDiscovery(names, c, int(lineShare*memory), log)
-	discovery.Fronts = site.Fronts
 	defer discovery.Close()
 	discovery.Follow(cfg.Discovery, cfg.Known.Seq)
-	go func() {
-		for range reload {
-			follow(discovery, log)
-			reread(memory, known, routes, log)
-		}
-	}()
+	changes := &reloader{discovery: discovery, core: c, routes: routes, memory: memory, known: known, log: log,
+		settings: op.Settings.Reload, grants: op.Desk()}
+	changes.use(site)
+	go changes.follow(reload)
 
 	front := httpfront.New(c, workers, site.ClassNames, describe.Handler, log)
 	if site.Resume {
@@ -433,14 +258,14 @@
 		}
 	}
 	if addr := op.ExtProc.Listen; addr != "" {
-		front := &extproc.Server{Core: c, Desk: grants, Workers: workers, Classes: classes, Settings: site.Settings, Routes: routes,
+		front := &extproc.Server{Core: c, Desk: grants, Workers: workers, Classes: classes, Settings: c.Settings, Routes: routes,
 			Destination: op.ExtProc.DestinationHeader, Override: op.ExtProc.ModeOverride, MaxOpen: op.ExtProc.MaxOpen, Log: log}
 		if err := serve("ext_proc", addr, front.GRPC()); err != nil {
 			return err
 		}
 	}
 	if addr := op.Decisions.Listen; addr != "" {
-		front := &decisions.Server{Desk: grants, Classes: classes, Names: site.ClassNames, Settings: site.Settings, Routes: routes, Log: log}
+		front := &decisions.Server{Desk: grants, Classes: classes, Names: site.ClassNames, Settings: c.Settings, Routes: routes, Log: log}
 		if err := serve("decisions", addr, front.GRPC()); err != nil {
 			return err
 		}
@@ -472,9 +297,8 @@
 		return err
 	case <-ctx.Done():
 	}
-	longest, kill := leastEnd, time.Duration(0)
-	for _, k := range site.Classes {
-		longest = max(longest, k.Deadline)
+	longest, kill := max(leastEnd, time.Duration(changes.longest.Load())), time.Duration(0)
+	for _, k := range c.Settings().Classes {
 		kill = max(kill, min(leastEnd, k.Deadline)+killMargin)
 	}
 	defer time.AfterFunc(kill-giveUpTime, c.End).Stop()
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,12 +65,18 @@
 	for i := range r.asked {
 		r.asked[i].span = shareSpan
 	}
-	for _, c := range set.Classes {
-		r.worth = max(r.worth, c.Worth)
-	}
+	r.worth = highestWorth(set.Classes)
 	return r
 }
 
+// highestWorth is the worth of the class that is worth most.
+func highestWorth(classes []Class) (worth float64) {
+	for _, c := range classes {
+		worth = max(worth, c.Worth)
+	}
+	return worth
+}
+
 // kind is what this front knows of all servers of one kind.
 type kind struct {
 	ready int
@@ -388,9 +394,15 @@
 		}
 	}
 	s.Server, s.role = e, r.set.Kinds[e.Kind].Role
-	if s.warmAt = math.MinInt64; e.Since != 0 {
-		s.warmAt = e.Since + r.set.ColdFor
+	s.warmAt = r.set.warmAt(e.Since)
+}
+
+// warmAt is from when on a server is warm that started at a time, 0 = long ago.
+func (s Settings) warmAt(since time.Duration) time.Duration {
+	if since == 0 {
+		return math.MinInt64
 	}
+	return since + s.ColdFor
 }
 
 // Probed takes what waits at a server, as the time to read it.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,10 +9,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rowanyard/decide"
@@ -91,7 +93,7 @@
 
 // Core is the router without its wires.
 type Core struct {
-	set    decide.Settings
+	set    atomic.Pointer[decide.Settings] // stored under mu, never written to once stored
 	prober Prober
 	log    *slog.Logger
 	start  time.Time
@@ -137,7 +139,7 @@
 // New returns a Core. Its list of workers is empty until SetWorkers.
 func New(set decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
 	now := time.Now()
-	c := &Core{set: set, prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
+	c := &Core{prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
 		workers: make(map[string]Worker), heard: make(map[string]time.Time),
 		lives: make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
 	r, err := decide.New(set, seed, (*actions)(c))
@@ -145,9 +147,28 @@
 		return nil, err
 	}
 	c.router = r
+	c.set.Store(&set)
 	return c, nil
 }
 
+// Settings are those in force, to be read only.
+func (c *Core) Settings() *decide.Settings { return c.set.Load() }
+
+// errNotApplied is the outcome of a change of settings that the module did not survive.
+var errNotApplied = errors.New("the decision module failed on them")
+
+// Apply puts other settings in force for requests that come from now on, unless they make no sense or need a restart: then
+// the old ones hold. Requests under way keep their class. See decide.Router.Apply.
+func (c *Core) Apply(set decide.Settings) error {
+	err := errNotApplied
+	c.tell(func(now time.Duration, r *decide.Router) {
+		if err = r.Apply(now, set); err == nil {
+			c.set.Store(&set)
+		}
+	})
+	return err
+}
+
 // Claim takes the id that a client gave to its request until free is called. It says no where the id
 // is open already: a second request with it would share what workers hold for the first.
 func (c *Core) Claim(id string) (free func(), ok bool) {
@@ -161,7 +182,7 @@
 }
 
 // Busy is when a client that a front has no room for may come back, 0 where none may be told.
-func (c *Core) Busy() time.Duration { return min(busyAgain, c.set.MaxRetryAfter) }
+func (c *Core) Busy() time.Duration { return min(busyAgain, c.Settings().MaxRetryAfter) }
 
 // clock is the time that the module is told: Unix time at the start and steady from there on, so
 // that workers' start times compare and a stepped system clock does no harm.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -477,7 +477,7 @@
 	} {
 		set := settings
 		set.ConnectTimeout, set.PinLimit = c.connect, c.pin
-		l := &life{core: &Core{set: set}, Request: decide.Request{Class: message}}
+		l := &life{settings: &set, Request: decide.Request{Class: message}}
 		if got := l.settle(); got != c.want {
 			t.Errorf("connect timeout %v, limit on held states %v: %v, want %v", c.connect, c.pin, got, c.want)
 		}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -28,7 +28,8 @@
 type life struct {
 	decide.Request
 	core      *Core
-	client    context.Context // ends when the client has gone
+	settings  *decide.Settings // in force when the request came
+	client    context.Context  // ends when the client has gone
 	via       Carrier
 	arrived   time.Time
 	choices   chan choice        // what the module chose, in order
@@ -95,7 +96,10 @@
 	defer l.guard()
 	c := l.core
 
-	c.tell(func(now time.Duration, r *decide.Router) { r.Request(now, l.Request) })
+	c.tell(func(now time.Duration, r *decide.Router) {
+		l.settings = c.Settings() // the module takes the request's class of the same
+		r.Request(now, l.Request)
+	})
 	late := time.NewTimer(l.TimeLeft + overdue)
 	defer late.Stop()
 	gone := l.client.Done()
@@ -266,7 +270,7 @@
 // run twice. A worker in reach shows its end within a round trip. One that is out of reach shows nothing: what was
 // written has reached it after the connect timeout, or never does. What is held meanwhile must still be let go in time.
 func (l *life) settle() time.Duration {
-	set := &l.core.set
+	set := l.settings
 	if l.Class < 0 || l.Class >= len(set.Classes) || set.Classes[l.Class].Effect != decide.Unsafe {
 		return 0
 	}
@@ -279,7 +283,8 @@
 
 // isRead says whether an attempt at w is the first of two stages.
 func (l *life) isRead(w Worker) bool {
-	return w.Kind >= 0 && w.Kind < len(l.core.set.Kinds) && l.core.set.Kinds[w.Kind].Role == decide.Reader
+	kinds := l.settings.Kinds
+	return w.Kind >= 0 && w.Kind < len(kinds) && kinds[w.Kind].Role == decide.Reader
 }
 
 // callOff stops waiting for an attempt.
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -129,7 +129,7 @@
 			return 0
 		case c.heard[w.ID].After(since):
 			return 1
-		case w.Zone == c.set.Zone:
+		case w.Zone == c.Settings().Zone:
 			return 2
 		}
 		return 3
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -84,7 +84,7 @@
 	b.list(nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	s := (&decisions.Server{Desk: desk, Classes: httpfront.ClassesOf(site.ClassNames), Names: site.ClassNames, Settings: site.Settings, Log: log}).GRPC()
+	s := (&decisions.Server{Desk: desk, Classes: httpfront.ClassesOf(site.ClassNames), Names: site.ClassNames, Settings: c.Settings, Log: log}).GRPC()
 	go s.Serve(l)
 	t.Cleanup(s.Stop)
 	b.conn, err = grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/internal/decisions/server.go
+++ b/internal/decisions/server.go
@@ -44,8 +44,8 @@
 	pb.UnimplementedDecisionsServer
 	Desk     *Desk
 	Classes  httpfront.Classes
-	Names    []string // of the classes, by number
-	Settings decide.Settings
+	Names    []string                // of the classes, by number
+	Settings func() *decide.Settings // those in force
 	Routes   *describe.Routes
 	Log      *slog.Logger
 }
@@ -138,7 +138,7 @@
 		path = httpfront.PathChat
 	}
 	a := Ask{Ask: grant.Ask{Caller: caller, Request: r.Request, Attempt: int(r.Attempt), Class: class,
-		Once: s.Settings.Classes[class].Effect == decide.Unsafe}, Called: called, Query: q, ReadHere: r.ReadHere,
+		Once: s.Settings().Classes[class].Effect == decide.Unsafe}, Called: called, Query: q, ReadHere: r.ReadHere,
 		Exchange: &httpfront.Exchange{Workers: s.Desk.workers, Method: http.MethodPost, URI: path, Head: head, Body: r.Body}}
 	g, to, err := s.Desk.Choose(ctx, a)
 	if err != nil {
@@ -179,7 +179,7 @@
 	switch {
 	case !httpfront.ValidID(r.Request):
 		return 0, q, fmt.Errorf("request: %.80q", r.Request)
-	case !ok || class >= len(s.Settings.Classes):
+	case !ok || class >= len(s.Settings().Classes):
 		return 0, q, fmt.Errorf("class: unknown class %.80q", name)
 	case r.Attempt < 0:
 		return 0, q, fmt.Errorf("attempt: %d", r.Attempt)
@@ -191,7 +191,7 @@
 			return 0, q, fmt.Errorf("%s: %d", name, n)
 		}
 	}
-	left := s.Settings.Classes[class].Deadline
+	left := s.Settings().Classes[class].Deadline
 	if r.FirstTokenWithin != nil {
 		left = r.FirstTokenWithin.AsDuration()
 	}
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -67,11 +67,11 @@
 	Desk        *decisions.Desk
 	Workers     *httpfront.Workers
 	Classes     httpfront.Classes
-	Settings    decide.Settings
-	Routes      *describe.Routes // what the operator's descriptions say; nil: all requests are ours
-	Destination string           // the header that names the writer
-	Override    bool             // proxies let the processor change their processing mode
-	MaxOpen     int64            // requests open at once
+	Settings    func() *decide.Settings // those in force
+	Routes      *describe.Routes        // what the operator's descriptions say; nil: all requests are ours
+	Destination string                  // the header that names the writer
+	Override    bool                    // proxies let the processor change their processing mode
+	MaxOpen     int64                   // requests open at once
 	Log         *slog.Logger
 	open        atomic.Int64
 }
@@ -332,7 +332,7 @@
 	q.Kept = c.Core.Kept(func() []byte { return httpfront.Prompt(c.body) })
 	id := c.head.Get("X-Txn")
 	g, to, err := c.Desk.Choose(ctx, decisions.Ask{Called: called, Query: q, ReadHere: true, Attached: true, OneWrite: true,
-		Ask:      grant.Ask{Caller: c.caller, Request: id, Class: q.Class, Once: c.Settings.Classes[q.Class].Effect == decide.Unsafe},
+		Ask:      grant.Ask{Caller: c.caller, Request: id, Class: q.Class, Once: c.Settings().Classes[q.Class].Effect == decide.Unsafe},
 		Fresh:    true,
 		Exchange: &httpfront.Exchange{Workers: c.Workers, Method: c.method, URI: c.uri, Head: c.head, Body: c.body}})
 	if err != nil {
@@ -426,8 +426,8 @@
 	}
 	def("X-Txn", c.head.Get(headID))
 	def("X-Labels", fmt.Sprintf("prompt_len=%d", len(c.body)/charsToken))
-	if class, ok := c.Classes[c.head.Get("X-Lane")]; ok && class < len(c.Settings.Classes) {
-		def("X-Remaining-Ms", strconv.FormatInt(c.Settings.Classes[class].Deadline.Milliseconds(), 10))
+	if class, ok := c.Classes[c.head.Get("X-Lane")]; ok && class < len(c.Settings().Classes) {
+		def("X-Remaining-Ms", strconv.FormatInt(c.Settings().Classes[class].Deadline.Milliseconds(), 10))
 	}
 }
 
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -69,7 +69,7 @@
 		Heard: 300 * time.Millisecond, Remember: 30 * time.Second, MaxWait: 500 * time.Millisecond, Tick: 5 * time.Millisecond,
 		Open: 256, Callers: 32, Effects: 4096, Longest: 64, FeedDepth: 64}, decisions.Seen{}, log)
 	must(err)
-	server := (&extproc.Server{Core: c, Desk: desk, Workers: hw, Classes: httpfront.ClassesOf(site.ClassNames), Settings: site.Settings,
+	server := (&extproc.Server{Core: c, Desk: desk, Workers: hw, Classes: httpfront.ClassesOf(site.ClassNames), Settings: c.Settings,
 		Routes: routes, Destination: extproc.DestinationHeader, MaxOpen: maxOpen, Override: override, Log: log}).GRPC()
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -1,5 +1,7 @@
 package httpfront
 
+// This file reads the bodies of requests, and answers those that are too long.
+
 import (
 	"bytes"
 	"errors"
@@ -10,8 +12,6 @@
 	"time"
 )
 
-// This file reads the bodies of requests, and answers those that are too long.
-
 const (
 	maxBody    = 256 << 10
 	maxHead    = 16 << 10
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -1,5 +1,9 @@
 package httpfront
 
+// This file reads a client's connection before net/http does: where one request's head and body end, and what comes behind
+// them. Heads are handed over whole and only if their framing can be read in one way. It must never change a byte of a
+// request that passes.
+
 import (
 	"context"
 	"io"
@@ -9,10 +13,6 @@
 	"time"
 )
 
-// This file reads a client's connection before net/http does: where one request's head and body end, and what comes behind
-// them. Heads are handed over whole and only if their framing can be read in one way. It must never change a byte of a
-// request that passes.
-
 const (
 	firstBody = 2600 * time.Millisecond // ... and its body after this, both from connecting
 	laterBody = 2500 * time.Millisecond // a later request's body, from its head
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -115,9 +115,6 @@
 	Core  *core.Core
 	Log   *slog.Logger
 	Line  int // the longest line that is read, 0 = watchLine
-	// Fronts is how many routers share discovery. Set before Follow.
-	Fronts int
-
 	// Spare is where descriptors come from when there are none left. Not to be replaced.
 	Spare *Descriptors
 
@@ -172,7 +169,6 @@
 // watch follows addr until ctx ends.
 func (d *Discovery) watch(ctx context.Context, addr string, after int64) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dial}}
-	turn := max(backoffLeast, backoffEach*time.Duration(d.Fronts))
 	for failed := 0; ; {
 		begun := time.Now()
 		word := begun // discovery's last, or when this call for one began
@@ -184,6 +180,7 @@
 		if after == wholeList {
 			due = newsMoved
 		}
+		turn := max(backoffLeast, backoffEach*time.Duration(d.Core.Settings().Fronts)) // all of them share discovery
 		pause := backoff(err, failed, turn, due-newsSpare-time.Since(word))
 		failed++
 		if ctx.Err() == nil {
--- a/internal/httpfront/due_test.go
+++ b/internal/httpfront/due_test.go
@@ -233,7 +233,7 @@
 	}
 	c.SetWorkers(true, []core.Worker{{Addr: "127.0.0.1:1", Server: decide.Server{ID: "a"}}})
 	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, quiet)
-	d.Fronts, d.dial = fronts, a.dial
+	d.dial = a.dial
 	d.Follow("agent:1", 7)
 	return d, c
 }
--- a/internal/httpfront/framing.go
+++ b/internal/httpfront/framing.go
@@ -1,12 +1,12 @@
 package httpfront
 
+// This file reads the framing of heads, of requests and answers alike: how long the body behind one is.
+
 import (
 	"bytes"
 	"strconv"
 )
 
-// This file reads the framing of heads, of requests and answers alike: how long the body behind one is.
-
 // headEnd is the length of the head at the start of text with the empty line that ends it, 0 where it
 // has not come yet. A head that begins with an empty line is all of that line.
 func headEnd(text []byte) int {
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -392,9 +392,8 @@
 		<-r.Context().Done()
 	}))
 	defer s.Close()
-	c, _ := core.New(decide.Settings{Fronts: 1, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, quiet)
+	c, _ := core.New(decide.Settings{Fronts: 1 << 20, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, quiet)
 	d := NewDiscovery(Names{}, c, 0, quiet)
-	d.Fronts = 1 << 20
 	defer d.Close()
 	d.Follow(s.Listener.Addr().String(), 41)
 	select {
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -1,12 +1,12 @@
 package httpfront
 
+// This file owns how a front is left by its clients: readiness, standby, and the end of the process.
+
 import (
 	"context"
 	"time"
 )
 
-// This file owns how a front is left by its clients: readiness, standby, and the end of the process.
-
 const (
 	closeAfter = 600 * time.Millisecond  // after SIGTERM connections still arrive for so long
 	emptyAfter = 1500 * time.Millisecond // in standby connections without a request end after this ...
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -1,19 +1,20 @@
 package httpfront
 
+// This file passes the stream of a worker on to the client. It must never change what the worker sent, nor hold it back.
+
 import (
 	"context"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"rowanyard/decide"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-)
 
-// This file passes the stream of a worker on to the client. It must never change what the worker sent, nor hold it back.
+	"rowanyard/decide"
+)
 
 const (
 	copyBuffer = 8 << 10
--- a/internal/httpfront/request.go
+++ b/internal/httpfront/request.go
@@ -1,5 +1,8 @@
 package httpfront
 
+// This file reads a request's head and body into the values that the core knows. What is malformed is named, and nothing is
+// sent for it.
+
 import (
 	"bytes"
 	"encoding/json"
@@ -7,14 +10,12 @@
 	"fmt"
 	"math"
 	"net/http"
-	"rowanyard/decide"
 	"strconv"
 	"strings"
 	"time"
-)
 
-// This file reads a request's head and body into the values that the core knows. What is malformed is named, and nothing is
-// sent for it.
+	"rowanyard/decide"
+)
 
 const (
 	maxTokens = 1 << 30
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -58,6 +58,9 @@
 	Metrics struct {
 		Listen string `json:"listen"`
 	} `json:"metrics"`
+	Settings struct {
+		Reload bool `json:"reload"` // SIGHUP puts the settings of the platform's file in force
+	} `json:"settings"`
 	Traces struct {
 		Endpoint string  `json:"endpoint"` // an OTLP/HTTP collector
 		Share    float64 `json:"share"`    // of the requests
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -91,6 +91,26 @@
 	Resume                           bool // clients ask for the rest of a stream that broke
 }
 
+// NeedsRestart names the first difference of next from s that a process can't take while it runs with s: what its sockets
+// were made with, and names that stand for numbers. What decisions rest on is for decide.Router.Apply to say.
+func (s Site) NeedsRestart(next Site) error {
+	for _, fixed := range []struct {
+		key  string
+		same bool
+	}{
+		{"request_classes: names", slices.Equal(s.ClassNames, next.ClassNames)},
+		{"host_types", slices.Equal(s.KindNames, next.KindNames)},
+		{"zones", slices.Equal(s.ZoneNames, next.ZoneNames)},
+		{"limits.conn_idle", s.ConnIdle == next.ConnIdle},
+		{"domain.resume", s.Resume == next.Resume},
+	} {
+		if !fixed.same {
+			return &decide.RestartError{What: fixed.key}
+		}
+	}
+	return nil
+}
+
 // ParseSite reads the settings for a real router.
 func ParseSite(text []byte) (Site, error) {
 	var c config
