scaletest settings: how soon a real router has changed settings in force

Change: the command gives one real router before hollow workers a new file and SIGHUP, over and over, beside clients, and measures the time until the router says that it has taken the settings, the processor time, and what became of requests (internal/scale/settingsrun). onerouter keeps the configuration as a type in place of a map, and can write it again. The short form runs in go test.

--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -20,6 +20,7 @@
 type commandLine struct {
 	Router    routerCommand    `cmd:"" help:"One real router before hollow workers: processor time, memory, descriptors and traffic."`
 	Discovery discoveryCommand `cmd:"" help:"How changes of the list of workers reach all routers: one real router and hollow watchers."`
+	Settings  settingsCommand  `cmd:"" help:"How soon changes of the settings are in force at a real router, and what they cost it."`
 	Fleet     fleetCommand     `cmd:"" help:"All routers' decision modules before simulated servers on a virtual clock."`
 }
 
--- a/cmd/scaletest/main_test.go
+++ b/cmd/scaletest/main_test.go
@@ -36,6 +36,8 @@
 		"no program":        {"router --workers 4 --rates 0 --program no-such-program", "no-such-program"},
 		"no descriptors":    {"router --workers 4 --rates 0 --sockets 100000000", "descriptors are needed"},
 		"one watcher":       {"discovery --routers 1", "--routers: 1"},
+		"no changes":        {"settings --changes 0", "--changes"},
+		"no clients' rate":  {"settings --rate -1", "--rate"},
 		"zero servers":      {"fleet --servers 0", "0 servers"},
 		"unknown event":     {"fleet --event flood", "flood"},
 		"zero routers":      {"fleet --routers 0", "0 routers"},
@@ -71,6 +73,8 @@
 			[]string{"probes/s", "CPU % by worker", "3 points"}},
 		"discovery": {"discovery --program " + program + " --routers 10 --workers 60 --steady 5 --interval 0s --changes 20 --idle 100ms",
 			[]string{"no change", "one by one", "burst", "zone lost", "zone back", "all restart", "10 routers, one of them real"}},
+		"settings": {"settings --program " + program + " --workers 20 --rate 20 --changes 4 --interval 50ms --settle 100ms",
+			[]string{"4 changes of the settings", "in force after", " 0 refused, 0 failed"}},
 		"fleet": {"fleet --routers 5 --servers 24 --rate 40 --tokens 10 --tenants 4 --warm-up 2s --measure 2s --after 16s --event zone",
 			[]string{"warm-up", "steady", "0 to 5 s after", "later", "event zone, seed 1"}},
 	} {
--- a/internal/scale/onerouter/onerouter.go
+++ b/internal/scale/onerouter/onerouter.go
@@ -33,6 +33,7 @@
 	MemoryMB  float64       // limits that the router is told
 	Sockets   int
 	Listen    string // where the router listens, "" = any free port
+	Reload    bool   // it takes changed settings at SIGHUP, see Process.Reload
 	Seed      uint64
 }
 
@@ -125,9 +126,7 @@
 	playing, stop := context.WithCancel(ctx)
 	defer stop()
 	played := make(chan load.Result, 1)
-	go func() {
-		played <- load.Run(playing, load.Options{Address: router.address, Rate: o.Rate, Seed: o.Seed, Class: className, Prompt: o.Prompt})
-	}()
+	go func() { played <- router.Load(playing, o) }()
 	if err := Pause(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
@@ -148,6 +147,11 @@
 	return result, nil
 }
 
+// Load plays the clients of a run at the router until ctx ends.
+func (r *Process) Load(ctx context.Context, o Options) load.Result {
+	return load.Run(ctx, load.Options{Address: r.address, Rate: o.Rate, Seed: o.Seed, Class: className, Prompt: o.Prompt})
+}
+
 // Pause waits for so long, or until ctx ends.
 func Pause(ctx context.Context, wait time.Duration) error {
 	select {
--- a/internal/scale/onerouter/process.go
+++ b/internal/scale/onerouter/process.go
@@ -30,8 +30,28 @@
 	readyLook = 5 * time.Millisecond
 	endWait   = 20 * time.Second // one that has not ended by then is killed
 	lastWords = 4 << 10          // bytes of the log that are kept for an error
+
+	reloadWait = 10 * time.Second // settings that are not taken by then are not taken
+	reloadLook = 100 * time.Microsecond
 )
 
+// config is the router's configuration file.
+type config struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     httpfront.List  `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
 // Process is the router that is measured, among what it is measured with.
 type Process struct {
 	fleet   *hollow.Fleet
@@ -39,6 +59,7 @@
 	command *exec.Cmd
 	address string
 	folder  string
+	config  config
 	log     logCounter
 	began   time.Time
 	ended   chan struct{} // closed once the process has ended
@@ -52,6 +73,7 @@
 	bytes int64
 	last  bytes.Buffer
 	seq   int64 // of the latest list that it tells of
+	taken int64 // changes of the settings that it says it has taken
 }
 
 func (l *logCounter) Write(p []byte) (int, error) {
@@ -64,6 +86,7 @@
 			l.seq = seq
 		}
 	}
+	l.taken += int64(bytes.Count(p, newSettings))
 	if over := l.last.Len() - lastWords; over > 0 {
 		l.last.Next(over)
 	}
@@ -82,6 +105,12 @@
 	return l.seq
 }
 
+func (l *logCounter) settingsTaken() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.taken
+}
+
 // lastLine is the last whole line of the log.
 func (l *logCounter) lastLine() string {
 	l.mu.Lock()
@@ -113,27 +142,17 @@
 	if err != nil {
 		return nil, err
 	}
-	config, err := json.Marshal(map[string]any{
-		"name": "measured", "listen": address, "discovery": discovery, "seed": fmt.Sprintf("%x", o.Seed),
-		"limits":   map[string]any{"cores": 1, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
-		"known":    httpfront.List{Seq: 1, Whole: true, Hosts: hosts},
-		"settings": settings,
-	})
-	if err != nil {
-		return nil, err
-	}
 	folder, err := os.MkdirTemp("", "scaletest")
 	if err != nil {
 		return nil, err
 	}
-	file := filepath.Join(folder, "config.json")
-	if err := os.WriteFile(file, config, 0o600); err != nil {
-		return nil, errors.Join(err, os.RemoveAll(folder))
-	}
-	r := &Process{command: exec.Command(o.Program), address: address, folder: folder, began: time.Now(), ended: make(chan struct{})}
-	r.command.Env = append(os.Environ(), "ROUTER_CONFIG="+file)
-	r.command.Stderr = &r.log
-	if err := r.command.Start(); err != nil {
+	r := &Process{command: exec.Command(o.Program), address: address, folder: folder, ended: make(chan struct{}), config: config{
+		Name: "measured", Listen: address, Discovery: discovery, Seed: fmt.Sprintf("%x", o.Seed),
+		Limits:   limits{Cores: 1, MemoryMB: o.MemoryMB, Sockets: o.Sockets},
+		Known:    httpfront.List{Seq: 1, Whole: true, Hosts: hosts},
+		Settings: settings,
+	}}
+	if err := r.begin(o.Reload); err != nil {
 		return nil, errors.Join(err, os.RemoveAll(folder))
 	}
 	go func() {
@@ -143,6 +162,55 @@
 	return r, nil
 }
 
+// begin writes the router's files and starts it.
+func (r *Process) begin(reload bool) error {
+	if err := r.writeConfig(); err != nil {
+		return err
+	}
+	r.command.Env = append(os.Environ(), "ROUTER_CONFIG="+r.configFile())
+	if reload {
+		file := filepath.Join(r.folder, "operator.json")
+		if err := os.WriteFile(file, []byte(`{"settings": {"reload": true}}`), 0o600); err != nil {
+			return err
+		}
+		r.command.Env = append(r.command.Env, "ROWANYARD_OPERATOR="+file)
+	}
+	r.command.Stderr = &r.log
+	r.began = time.Now()
+	return r.command.Start()
+}
+
+func (r *Process) configFile() string { return filepath.Join(r.folder, "config.json") }
+
+// writeConfig writes the router's configuration in place of the one before.
+func (r *Process) writeConfig() error {
+	text, err := json.Marshal(r.config)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.configFile(), text, 0o600)
+}
+
+// Reload gives the router other settings and returns when it says that it has taken them.
+func (r *Process) Reload(ctx context.Context, settings json.RawMessage) error {
+	before := r.log.settingsTaken()
+	r.config.Settings = settings
+	if err := r.writeConfig(); err != nil {
+		return err
+	}
+	if err := r.command.Process.Signal(syscall.SIGHUP); err != nil {
+		return fmt.Errorf("the router has ended: %w", err)
+	}
+	ctx, stop := context.WithTimeout(ctx, reloadWait)
+	defer stop()
+	for r.log.settingsTaken() == before {
+		if err := Pause(ctx, reloadLook); err != nil {
+			return fmt.Errorf("the router has not taken its new settings: %w: %s", err, r.log.lastLine())
+		}
+	}
+	return nil
+}
+
 // freeAddress is an address at which nobody listens: the one that was asked for, or any.
 func freeAddress(asked string) (string, error) {
 	l, err := net.Listen("tcp", cmp.Or(asked, "127.0.0.1:0"))
@@ -196,6 +264,9 @@
 // listed is how the router's log tells of a list.
 var listed = regexp.MustCompile(`msg="worker list".* seq=(\d+)`)
 
+// newSettings is how the router's log tells of settings that it has taken.
+var newSettings = []byte(`msg="new settings" `)
+
 // Version is the latest version of the list that the router says it has taken, 0 = none.
 func (r *Process) Version() int64 { return r.log.version() }
 
