--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -180,6 +180,7 @@
 			return 0, c.endHere()
 		}
 		if len(c.buf) > maxHead { // net/http answers it with 431
+			c.begins()
 			c.plain = true
 			continue
 		}
@@ -199,25 +200,31 @@
 	if !c.is(atWork) {
 		return net.ErrClosed
 	}
+	c.begins()
 	if !ok {
 		c.buf, c.ready, c.refused = []byte(unreadable), len(unreadable), true
 		return nil
 	}
 	c.owes.Store(true)
-	c.finished.Store(false)
 	c.came.Store(int64(c.first.Sub(epoch)))
 	c.ready, c.body = end, f.length
 	if f.chunked {
 		c.chunks = &chunkScan{}
 	}
 	c.half.Store(c.body > 0 || f.chunked)
-	c.behind.Store(0)
 	if !c.half.Load() {
 		c.countBehind()
 	}
 	return nil
 }
 
+// begins notes that net/http has a request to answer: the answer before is no longer the latest, and what was counted as read
+// behind it is at hand.
+func (c *clientConn) begins() {
+	c.finished.Store(false)
+	c.behind.Store(0)
+}
+
 // fill reads more into buf.
 func (c *clientConn) fill() error {
 	if cap(c.buf)-len(c.buf) < headStep/2 {
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -241,3 +241,37 @@
 		}
 	}
 }
+
+// Behind a request that was served comes one that net/http answers itself: there is one answer to each.
+func TestAnErrorBehindAnAnswerIsTheOnlyOne(t *testing.T) {
+	one := message("one", length(bodyText), bodyText)
+	odd := message("two", length(bodyText)+length(bodyText), bodyText)
+	long := message("two", "X-Long: "+strings.Repeat("x", 2*maxHead)+"\r\n"+length(bodyText), bodyText)
+	for name, x := range map[string]struct {
+		ahead, later string // sent with the first request, and after its answer
+		want         int
+	}{
+		"unclear framing":      {odd, "", http.StatusBadRequest},
+		"a head that is split": {odd[:40], odd[40:], http.StatusBadRequest},
+		"a head too long":      {long[:40], long[40:], http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		addr, begun, goOn := streamingWorker(t)
+		f, _ := aimingAt(t, addr, time.Hour)
+		at, reads := servedAt(t, f)
+		client := dial(t, at, one+x.ahead)
+		receive(t, begun, name)
+		awaitBehind(t, soleConn(t, f), reads, 1)
+		goOn <- struct{}{}
+		in := bufio.NewReader(client)
+		readStream(t, in)
+		io.WriteString(client, x.later)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil || res.StatusCode != x.want {
+			t.Errorf("%s: %v %v, want %d", name, res, err, x.want)
+			continue
+		}
+		if text, _ := io.ReadAll(res.Body); strings.Contains(string(text), "HTTP/1.1") { // its end is the connection's
+			t.Errorf("%s: a second answer in %q", name, text)
+		}
+	}
+}
