scaletest: the planned size stands once; kvindex's tests use the virtual clock

fleetsim.Default's values stood again as defaults of four commands: they are filled in from there now, help and results are the same. The queue of events in kvindex/pressure_test.go was the one of internal/scale/virtualclock: that is used; what the tests print is the same to the last digit.

--- a/cmd/scaletest/discovery.go
+++ b/cmd/scaletest/discovery.go
@@ -15,10 +15,10 @@
 // discoveryCommand measures how lists reach all routers.
 type discoveryCommand struct {
 	Program  string        `help:"The router's program." default:"bin/rowanyard"`
-	Routers  int           `help:"Routers, one of them real." default:"340"`
-	Workers  int           `help:"Workers." default:"1400"`
-	Readers  float64       `help:"Share of workers that read prompts." default:"0.28"`
-	Zones    int           `help:"Zones of the workers." default:"6"`
+	Routers  int           `help:"Routers, one of them real." default:"${routers}"`
+	Workers  int           `help:"Workers." default:"${servers}"`
+	Readers  float64       `help:"Share of workers that read prompts." default:"${readers}"`
+	Zones    int           `help:"Zones of the workers." default:"${zones}"`
 	Steady   int           `help:"Changes one by one." default:"100"`
 	Interval time.Duration `help:"Time between two of them." default:"100ms"`
 	Changes  int           `help:"Changes of a burst." default:"1000"`
--- a/cmd/scaletest/fleet.go
+++ b/cmd/scaletest/fleet.go
@@ -12,18 +12,18 @@
 
 // fleetCommand plays all routers' decision modules on a virtual clock.
 type fleetCommand struct {
-	Routers int           `help:"Routers." default:"340"`
-	Servers int           `help:"Servers." default:"1400"`
-	Rate    float64       `help:"Requests a second over all routers." default:"4500"`
-	Readers float64       `help:"Share of servers that read prompts." default:"0.28"`
-	Regions int           `help:"Regions." default:"3"`
-	Zones   int           `help:"Zones in all." default:"6"`
-	Tenants int           `help:"Tenants." default:"230"`
-	Tokens  int           `help:"Tokens of an answer." default:"467"`
-	WarmUp  time.Duration `help:"Time before anything is counted." default:"40s"`
-	Measure time.Duration `help:"Time of the steady measurement." default:"20s"`
-	After   time.Duration `help:"Time after an event." default:"30s"`
-	Event   string        `help:"What happens: none, rack, zone or region." default:"none"`
+	Routers int           `help:"Routers." default:"${routers}"`
+	Servers int           `help:"Servers." default:"${servers}"`
+	Rate    float64       `help:"Requests a second over all routers." default:"${rate}"`
+	Readers float64       `help:"Share of servers that read prompts." default:"${readers}"`
+	Regions int           `help:"Regions." default:"${regions}"`
+	Zones   int           `help:"Zones in all." default:"${zones}"`
+	Tenants int           `help:"Tenants." default:"${tenants}"`
+	Tokens  int           `help:"Tokens of an answer." default:"${tokens}"`
+	WarmUp  time.Duration `help:"Time before anything is counted." default:"${warm_up}"`
+	Measure time.Duration `help:"Time of the steady measurement." default:"${measure}"`
+	After   time.Duration `help:"Time after an event." default:"${aftermath}"`
+	Event   string        `help:"What happens: none, rack, zone or region." default:"${event}"`
 	Seed    uint64        `help:"Seed of the play." default:"1"`
 }
 
--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"rowanyard/internal/scale/fleetsim"
 )
 
 // exitBadInput is the exit status for input, or a machine, that makes no run possible.
@@ -36,11 +38,23 @@
 // errHelp says that help was asked for, and given.
 var errHelp = errors.New("help")
 
+// defaults are the planned size, for the arguments of all commands.
+func defaults() kong.Vars {
+	plan := fleetsim.Default()
+	vars := kong.Vars{}
+	for name, value := range map[string]any{"routers": plan.Routers, "servers": plan.Servers, "readers": plan.Readers, "rate": plan.Rate,
+		"regions": plan.Regions, "zones": plan.Zones, "tenants": plan.Tenants, "tokens": plan.Tokens, "warm_up": plan.WarmUp,
+		"measure": plan.Measure, "aftermath": plan.Aftermath, "event": plan.Event} {
+		vars[name] = fmt.Sprint(value)
+	}
+	return vars
+}
+
 // execute runs what the arguments say.
 func execute(ctx context.Context, args []string, out io.Writer) error {
 	var c commandLine
 	helped := false
-	parser, err := kong.New(&c, kong.Name("scaletest"), kong.Description("Scale tests of the router."), kong.Writers(out, io.Discard),
+	parser, err := kong.New(&c, kong.Name("scaletest"), kong.Description("Scale tests of the router."), defaults(), kong.Writers(out, io.Discard),
 		kong.Exit(func(int) { helped = true; panic(errHelp) }), kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(out, (*io.Writer)(nil)))
 	if err != nil {
 		return err
--- a/cmd/scaletest/router.go
+++ b/cmd/scaletest/router.go
@@ -16,9 +16,9 @@
 	Program   string        `help:"The router's program." default:"bin/rowanyard"`
 	Workers   []int         `help:"Numbers of workers." default:"100,350,700,1400"`
 	Rates     []float64     `help:"Requests a second at the router." default:"0,13,40"`
-	Routers   int           `help:"Routers that the settings tell of." default:"340"`
-	Readers   float64       `help:"Share of workers that read prompts." default:"0.28"`
-	Zones     int           `help:"Zones of the workers." default:"6"`
+	Routers   int           `help:"Routers that the settings tell of." default:"${routers}"`
+	Readers   float64       `help:"Share of workers that read prompts." default:"${readers}"`
+	Zones     int           `help:"Zones of the workers." default:"${zones}"`
 	NoProbes  bool          `help:"Workers do not answer probes: what probes cost is the difference."`
 	Tokens    int           `help:"Events of an answer." default:"4"`
 	TokenTime time.Duration `help:"Time between two events." default:"0s"`
--- a/cmd/scaletest/settings.go
+++ b/cmd/scaletest/settings.go
@@ -14,11 +14,11 @@
 // settingsCommand measures how soon changes of the settings are in force.
 type settingsCommand struct {
 	Program  string        `help:"The router's program." default:"bin/rowanyard"`
-	Workers  int           `help:"Workers." default:"1400"`
+	Workers  int           `help:"Workers." default:"${servers}"`
 	Rate     float64       `help:"Requests a second at the router." default:"13"`
-	Routers  int           `help:"Routers that the settings tell of." default:"340"`
-	Readers  float64       `help:"Share of workers that read prompts." default:"0.28"`
-	Zones    int           `help:"Zones of the workers." default:"6"`
+	Routers  int           `help:"Routers that the settings tell of." default:"${routers}"`
+	Readers  float64       `help:"Share of workers that read prompts." default:"${readers}"`
+	Zones    int           `help:"Zones of the workers." default:"${zones}"`
 	Changes  int           `help:"Changes of the settings, one after the other." default:"100"`
 	Interval time.Duration `help:"Time between two of them." default:"100ms"`
 	Settle   time.Duration `help:"Time before the first." default:"6s"`
--- a/internal/kvindex/pressure_test.go
+++ b/internal/kvindex/pressure_test.go
@@ -4,8 +4,6 @@
 // that push them out. It is played with the router's own record, with perfect reports, and with some of them lost.
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -17,35 +15,14 @@
 	"rowanyard/internal/engine"
 	"rowanyard/internal/kvevents"
 	"rowanyard/internal/kvindex"
+	"rowanyard/internal/scale/virtualclock"
 )
 
 const ms = time.Millisecond
 
-type task struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type todo []task
-
-func (t todo) Len() int { return len(t) }
-func (t todo) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(t[i].at, t[j].at), cmp.Compare(t[i].n, t[j].n)) < 0
-}
-func (t todo) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *todo) Push(x any)   { *t = append(*t, x.(task)) }
-func (t *todo) Pop() any {
-	x := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return x
-}
-
 // site is a router, its engines, and what it hears of them.
 type site struct {
-	now     time.Duration
-	todo    todo
-	n       int
+	virtualclock.Clock
 	rng     *rand.Rand // of the network
 	comes   *rand.Rand // of what clients ask, the same whatever becomes of it
 	routers []*router
@@ -86,19 +63,6 @@
 	kept    map[string]int
 }
 
-func (s *site) after(d time.Duration, do func()) {
-	s.n++
-	heap.Push(&s.todo, task{s.now + max(0, d), s.n, do})
-}
-
-func (s *site) play(until time.Duration) {
-	for len(s.todo) > 0 && s.todo[0].at <= until {
-		t := heap.Pop(&s.todo).(task)
-		s.now = t.at
-		t.do()
-	}
-}
-
 const batchEvery = 20 * ms
 
 func newSite(t testing.TB, seed uint64, routers int, reports bool, loss float64) *site {
@@ -165,7 +129,7 @@
 				r.hear(id, b)
 			}
 		}
-		s.after(batchEvery, publish)
+		s.After(batchEvery, publish)
 	}
 	var beat func()
 	beat = func() {
@@ -173,15 +137,15 @@
 			for _, r := range s.routers {
 				if s.rng.Float64() >= s.loss && len(s.sent[id]) > 0 {
 					last := s.sent[id][len(s.sent[id])-1]
-					r.replay(r.index.Heard(s.now, id, last.Incarnation, last.Seq+1))
+					r.replay(r.index.Heard(s.Now, id, last.Incarnation, last.Seq+1))
 				}
 			}
 		}
-		s.after(500*ms, beat)
+		s.After(500*ms, beat)
 	}
 	if reports {
-		s.after(0, publish)
-		s.after(0, beat)
+		s.After(0, publish)
+		s.After(0, beat)
 	}
 	return s
 }
@@ -202,14 +166,14 @@
 	if r.rng.Float64() < r.loss {
 		return
 	}
-	r.after(time.Duration(r.rng.Int64N(int64(4*ms))), func() { r.replay(r.index.Apply(r.now, id, b)) })
+	r.After(time.Duration(r.rng.Int64N(int64(4*ms))), func() { r.replay(r.index.Apply(r.Now, id, b)) })
 }
 
 func (r *router) replay(ask *kvindex.Replay) {
-	if ask == nil || r.now-r.asked[ask.Worker] < 50*ms {
+	if ask == nil || r.Now-r.asked[ask.Worker] < 50*ms {
 		return
 	}
-	r.asked[ask.Worker] = r.now
+	r.asked[ask.Worker] = r.Now
 	for _, b := range r.sent[ask.Worker] {
 		if b.Seq >= ask.From {
 			r.hear(ask.Worker, b)
@@ -221,12 +185,12 @@
 func (r *router) request(session uint64, prefix, prefixLen int, text []byte, out int) {
 	s := r.site
 	s.lastID++
-	l := &life{router: r, num: decide.RequestID(s.lastID), id: fmt.Sprint(s.lastID), text: text, out: out, arrived: s.now, to: make(map[int]string)}
+	l := &life{router: r, num: decide.RequestID(s.lastID), id: fmt.Sprint(s.lastID), text: text, out: out, arrived: s.Now, to: make(map[int]string)}
 	s.lives[l.id], r.open[l.num] = l, l
 	q := decide.Request{ID: l.num, TimeLeft: 5 * time.Second, Session: session, Prefix: uint64(prefix), Prompt: len(text) / 4, PrefixLen: prefixLen,
 		MaxOutput: 2 * out, Hint: time.Duration(out) * 60 * ms}
 	if s.reports {
-		kept, whole := r.index.Lookup(s.now, func(block int) []uint64 { return raw(engine.Chain(text, block)) })
+		kept, whole := r.index.Lookup(s.Now, func(block int) []uint64 { return raw(engine.Chain(text, block)) })
 		q.Kept = make(map[string]int)
 		for _, id := range whole {
 			q.Kept[id] = 0
@@ -236,13 +200,13 @@
 		}
 		l.kept = q.Kept
 	}
-	r.Router.Request(s.now, q)
+	r.Router.Request(s.Now, q)
 }
 
 // look has what an engine did come to who waits for it, and the engine's next step happen.
 func (s *site) look(id string) {
 	e := s.engines[id]
-	e.Advance(s.now)
+	e.Advance(s.Now)
 	for _, x := range e.Events() {
 		l := s.lives[x.ID]
 		if l == nil || l.over {
@@ -252,7 +216,7 @@
 		if l.to[n] != id {
 			continue
 		}
-		took := s.now - l.arrived
+		took := s.Now - l.arrived
 		o := decide.Outcome{ID: l.num, Attempt: n, Server: id, Took: took}
 		switch x.What {
 		case engine.ReadDone:
@@ -263,21 +227,21 @@
 			}
 			l.reader = id
 			o.Status, o.Kept = decide.Read, x.Kept
-			l.Outcome(s.now, o)
+			l.Outcome(s.Now, o)
 		case engine.First:
 			s.first = append(s.first, took)
 			l.over = true
-			s.engines[l.reader].Fetch(s.now, l.id)
-			l.Started(s.now, decide.Started{ID: l.num, Attempt: n, Server: id, Took: took})
+			s.engines[l.reader].Fetch(s.Now, l.id)
+			l.Started(s.Now, decide.Started{ID: l.num, Attempt: n, Server: id, Took: took})
 			o.Status, o.Final = decide.Served, true
-			s.after(time.Duration(l.out)*40*ms, func() { l.Outcome(s.now, o) })
+			s.After(time.Duration(l.out)*40*ms, func() { l.Outcome(s.Now, o) })
 			s.tick(l.reader)
 		case engine.TurnedAway:
 			o.Status = decide.Full
-			l.Outcome(s.now, o)
+			l.Outcome(s.Now, o)
 		case engine.Lost, engine.Dropped, engine.Stopped:
 			o.Status = decide.Reset
-			l.Outcome(s.now, o)
+			l.Outcome(s.Now, o)
 		}
 	}
 	s.tick(id)
@@ -285,7 +249,7 @@
 
 func (s *site) tick(id string) {
 	if at, ok := s.engines[id].Next(); ok {
-		s.after(at-s.now, func() { s.look(id) })
+		s.After(at-s.Now, func() { s.look(id) })
 	}
 }
 
@@ -294,18 +258,18 @@
 	l := r.open[id]
 	l.to[l.sends] = server
 	l.sends++
-	r.after(ms, func() {
+	r.After(ms, func() {
 		e := r.engines[server]
-		e.Submit(r.now, engine.Work{ID: l.id, Chain: engine.Chain(l.text, e.Settings().Block), Tokens: len(l.text) / 4, Output: l.out, Holds: l.reader != ""})
+		e.Submit(r.Now, engine.Work{ID: l.id, Chain: engine.Chain(l.text, e.Settings().Block), Tokens: len(l.text) / 4, Output: l.out, Holds: l.reader != ""})
 		r.look(server)
 	})
 }
 func (r *router) Cancel(id decide.RequestID, n int) {
 	l := r.open[id]
-	r.after(0, func() {
-		r.engines[l.to[n]].Cancel(r.now, l.id)
+	r.After(0, func() {
+		r.engines[l.to[n]].Cancel(r.Now, l.id)
 		r.engines[l.to[n]].Events()
-		l.Outcome(r.now, decide.Outcome{ID: id, Attempt: n, Server: l.to[n], Status: decide.Cancelled})
+		l.Outcome(r.Now, decide.Outcome{ID: id, Attempt: n, Server: l.to[n], Status: decide.Cancelled})
 		r.look(l.to[n])
 	})
 }
@@ -314,12 +278,12 @@
 func (r *router) Fail(id decide.RequestID)                    { r.end(id) }
 func (r *router) Release(id decide.RequestID) {
 	if l := r.open[id]; l.reader != "" {
-		r.engines[l.reader].Release(r.now, l.id)
+		r.engines[l.reader].Release(r.Now, l.id)
 		r.tick(l.reader)
 	}
 }
 func (r *router) SetTimer(token uint64, at time.Duration) {
-	r.after(at-r.now, func() { r.Timer(r.now, token) })
+	r.After(at-r.Now, func() { r.Timer(r.Now, token) })
 }
 func (r *router) Probe(string)    {}
 func (r *router) AskServers(bool) {}
@@ -342,10 +306,10 @@
 	session := uint64(0)
 	var next func()
 	next = func() {
-		if s.now >= until {
+		if s.Now >= until {
 			return
 		}
-		s.after(time.Duration(s.comes.ExpFloat64()*float64(110*ms)), next)
+		s.After(time.Duration(s.comes.ExpFloat64()*float64(110*ms)), next)
 		session++
 		me, which := session, min(s.comes.IntN(len(shared)), s.comes.IntN(len(shared)))
 		text := slices.Concat(shared[which], words(fmt.Sprint("s", me), 200+s.comes.IntN(300)))
@@ -356,12 +320,12 @@
 		at, router := time.Duration(0), s.routers
 		for n := range 1 + s.comes.IntN(4) {
 			out, to, said := 40+s.comes.IntN(100), router[s.comes.IntN(len(router))], text
-			s.after(at, func() { to.request(me, prefix, length, said, out) })
+			s.After(at, func() { to.request(me, prefix, length, said, out) })
 			at += 2*time.Second + time.Duration(s.comes.Int64N(int64(4*time.Second)))
 			text = slices.Concat(text, words(fmt.Sprint("a", me, ".", n), out+100+s.comes.IntN(300)))
 		}
 	}
-	s.after(0, next)
+	s.After(0, next)
 }
 
 type result struct {
@@ -378,7 +342,7 @@
 	if more != nil {
 		more(s)
 	}
-	s.play(long + 20*time.Second)
+	s.Until(long + 20*time.Second)
 	slices.Sort(s.first)
 	n := len(s.first)
 	if n == 0 {
@@ -424,15 +388,15 @@
 	wrong := func(reports bool) (over, n int) {
 		s := newSite(t, 1, 2, reports, 0)
 		s.load(40 * time.Second)
-		s.after(20*time.Second, func() {
+		s.After(20*time.Second, func() {
 			for _, id := range s.readers[:2] {
-				s.engines[id].Start(s.now, 2)
+				s.engines[id].Start(s.Now, 2)
 				s.look(id)
 			}
 		})
-		s.play(20*time.Second + 50*ms)
+		s.Until(20*time.Second + 50*ms)
 		s.predicted = 0
-		s.play(60 * time.Second)
+		s.Until(60 * time.Second)
 		return s.predicted, len(s.first)
 	}
 	if over, n := wrong(true); over > n/100 {
