Requests read behind a stream that is handed on are refused, not dropped

Cause: with a stream that goes to the next process, what the older one had read behind it was lost, and a byte that the client sent during the rest of the stream was taken for its leaving and broke the stream.

Change: the older process stops reading before it hands the sockets on and tells how many requests it has read behind; the next one reads on beside the stream until the client leaves, and writes a refusal for each request behind the last chunk. Fields that an older or newer process does not know are passed over, as before.

Tests: two in pipeline_test.go, over a real hand-over and on pipes; without the change the first ends without an answer and the second breaks the stream.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -47,11 +47,7 @@
 }
 
 func newClients(l net.Listener, most int, again time.Duration, log *slog.Logger) *clients {
-	line := ""
-	if again > 0 {
-		line = "Retry-After: " + seconds(again) + "\r\n"
-	}
-	return &clients{Listener: l, most: max(1, most), again: line, conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log,
+	return &clients{Listener: l, most: max(1, most), again: retryAfterLine(again), conns: make(map[*clientConn]bool), turned: make(chan struct{}, turnedMost), log: log,
 		left: make(chan struct{}), served: make(chan struct{})}
 }
 
@@ -256,6 +252,14 @@
 	l.told, l.away, l.closed = time.Now(), 0, 0
 }
 
+// retryAfterLine is the line of a head that says when to come back, empty where none may be told.
+func retryAfterLine(after time.Duration) string {
+	if after <= 0 {
+		return ""
+	}
+	return "Retry-After: " + seconds(after) + "\r\n"
+}
+
 // refusalText is the answer to a request of which nothing was sent on, such as one that there is no room for. last has it
 // tell the end of the connection.
 func refusalText(again string, last bool) string {
--- a/internal/httpfront/handed.go
+++ b/internal/httpfront/handed.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,15 +36,17 @@
 	Length int        `json:"length"`
 	Fine   bool       `json:"fine"`
 	Note   bool       `json:"note"`
+	Behind int        `json:"behind"` // requests that were read behind the one that is answered
 }
 
 func handedOf(c chunkScan, e eventScan) handed {
-	return handed{c.state, c.left, c.count, e.line, e.count, e.fine, e.note}
+	return handed{Chunk: c.state, Left: c.left, Count: c.count, Line: e.line, Length: e.count, Fine: e.fine, Note: e.note}
 }
 
 // scans are the followers of the stream from there on.
 func (h handed) scans() (chunkScan, eventScan, error) {
-	if h.Chunk < chunkSize || h.Chunk > trailerLF || h.Left < 0 || h.Left > maxChunk || h.Count < 0 || h.Length < 0 || len(h.Line) > h.Length {
+	if h.Chunk < chunkSize || h.Chunk > trailerLF || h.Left < 0 || h.Left > maxChunk || h.Count < 0 || h.Length < 0 || len(h.Line) > h.Length ||
+		h.Behind < 0 || h.Behind > aheadMost {
 		return chunkScan{}, eventScan{}, fmt.Errorf("a stream at %+v", h)
 	}
 	return chunkScan{state: h.Chunk, left: h.Left, count: h.Count},
@@ -94,10 +97,11 @@
 
 // Handed takes streams from an older process.
 type Handed struct {
-	l    *net.UnixListener
-	log  *slog.Logger
-	over context.Context // when it ends they go on to the next process
-	next *heir
+	l     *net.UnixListener
+	log   *slog.Logger
+	again string          // the Retry-After line of refusals, may be empty
+	over  context.Context // when it ends they go on to the next process
+	next  *heir
 
 	running sync.WaitGroup
 }
@@ -118,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	h := &Handed{l: l, log: f.log, over: f.over, next: &f.heirs}
+	h := &Handed{l: l, log: f.log, again: retryAfterLine(f.core.Busy()), over: f.over, next: &f.heirs}
 	f.mu.Lock()
 	f.handed = h
 	f.mu.Unlock()
@@ -191,6 +195,7 @@
 		return err
 	}
 	s.client, s.worker = conns[0], conns[1]
+	s.behind.Store(int32(at.Behind))
 	h.running.Add(1)
 	go func() {
 		defer h.running.Done()
@@ -205,15 +210,16 @@
 	client, worker net.Conn
 	chunk          chunkScan
 	events         eventScan
+	behind         atomic.Int32 // requests that were read behind the one that is answered
 }
 
 // run passes the rest of the stream on. Its client's connection ends with it.
 func (s *handedStream) run() {
 	defer s.client.Close()
 	defer s.worker.Close()
-	// Guards against a stream that goes on with nobody to read it: what comes from the client is its end.
+	// Guards against a stream that goes on with nobody to read it.
 	go func() {
-		_, _ = s.client.Read(make([]byte, 1))
+		s.readAhead()
 		s.worker.Close()
 	}()
 	defer context.AfterFunc(s.from.over, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
@@ -242,6 +248,7 @@
 			if s.events.count == 0 {
 				_ = s.client.SetWriteDeadline(time.Now().Add(writeLimit))
 				_, _ = s.client.Write([]byte("0\r\n\r\n"))
+				writeRefusals(s.client, s.from.again, int(s.behind.Load()))
 			}
 			return
 		case err != nil && s.from.over.Err() != nil:
@@ -254,6 +261,22 @@
 	}
 }
 
+// readAhead reads what the client sends until it leaves, and counts the requests in it. What the process before had read may
+// have ended in the middle of a request, so that nothing more is counted then: the first refusal tells the rest.
+func (s *handedStream) readAhead() {
+	counts := s.behind.Load() == 0
+	var text []byte
+	for part := make([]byte, headStep); ; {
+		n, err := s.client.Read(part)
+		if err != nil {
+			return
+		}
+		if text = append(text, part[:min(n, aheadMost-len(text))]...); counts {
+			s.behind.Store(int32(pendingRequests(text)))
+		}
+	}
+}
+
 // write passes bytes on as one chunk.
 func (s *handedStream) write(p []byte) error {
 	_ = s.client.SetWriteDeadline(time.Now().Add(writeLimit))
@@ -274,7 +297,9 @@
 		var worker int
 		if worker, err = dup(s.worker); err == nil {
 			defer syscall.Close(worker)
-			err = give(path, handedOf(s.chunk, s.events), client, worker)
+			at := handedOf(s.chunk, s.events)
+			at.Behind = int(s.behind.Load())
+			err = give(path, at, client, worker)
 		}
 	}
 	if err != nil {
--- a/internal/httpfront/lastrequest.go
+++ b/internal/httpfront/lastrequest.go
@@ -25,9 +25,17 @@
 type lastRequest struct {
 	mu      sync.Mutex
 	reading bool // bytes of a request were read and it has not been answered
+	paused  bool // nothing more is read, and the connection is not closed for that
 	closed  bool
 }
 
+// pause has nothing more read: another process does.
+func (r *lastRequest) pause() {
+	r.mu.Lock()
+	r.paused = true
+	r.mu.Unlock()
+}
+
 func (r *lastRequest) isClosed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -79,6 +87,9 @@
 			failed = net.ErrClosed
 			return true
 		}
+		if c.ends.paused {
+			return false // waits for the close
+		}
 		for n, failed = syscall.Read(int(fd), p); errors.Is(failed, syscall.EINTR); {
 			n, failed = syscall.Read(int(fd), p)
 		}
@@ -147,15 +158,19 @@
 
 // refuseBehind refuses the requests that were read behind the one at hand: nothing of them has been sent on.
 func (c *clientConn) refuseBehind() {
-	if n := int(c.behind.Swap(0)); n > 0 {
-		c.refuse(n)
-	}
+	c.refuse(int(c.behind.Swap(0)))
 }
 
-// refuse writes so many refusals, of which the last tells the end of the connection.
-func (c *clientConn) refuse(requests int) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictTime))
-	_, _ = io.WriteString(c.Conn, strings.Repeat(refusalText(c.from.again, false), requests-1)+refusalText(c.from.again, true))
+// refuse refuses so many requests.
+func (c *clientConn) refuse(requests int) { writeRefusals(c.Conn, c.from.again, requests) }
+
+// writeRefusals writes refusals for so many requests to a client whose connection ends then, as the last of them tells.
+func writeRefusals(client net.Conn, again string, requests int) {
+	if requests <= 0 {
+		return
+	}
+	_ = client.SetWriteDeadline(time.Now().Add(evictTime))
+	_, _ = io.WriteString(client, strings.Repeat(refusalText(again, false), requests-1)+refusalText(again, true))
 }
 
 // pendingRequests counts the requests in what was read, of which at least the first line has come.
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -275,3 +276,59 @@
 		}
 	}
 }
+
+// A stream goes on in the process that takes over, and so does the answer that is owed to a request that the process before
+// had read behind it.
+func TestARequestReadBehindAHandedStreamIsRefused(t *testing.T) {
+	addr, begun, goOn := streamingWorker(t)
+	older, _ := aimingAt(t, addr, time.Hour)
+	older.HandOver = time.Millisecond
+	at, reads := servedAt(t, older)
+	newer, _ := aimingAt(t, addr, time.Hour)
+	path := filepath.Join(t.TempDir(), "s")
+	if err := newer.TakeFrom(path); err != nil {
+		t.Fatal(err)
+	}
+	first, second := patiently(message("one", length(bodyText), bodyText)), patiently(message("two", length(bodyText), bodyText))
+	client := dial(t, at, first+second)
+	in := bufio.NewReader(client)
+	receive(t, begun, "the stream")
+	awaitBehind(t, soleConn(t, older), reads, 1)
+	ended := make(chan struct{})
+	go func() {
+		older.Shutdown(t.Context(), path)
+		close(ended)
+	}()
+	receive(t, ended, "the end of the older process's front")
+	goOn <- struct{}{}
+	readStream(t, in)
+	if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("%v %v, it was read", res, err)
+	}
+	expectEnd(t, in)
+}
+
+// What the client of a stream that was taken over sends does not end the stream, and is refused behind it.
+func TestARequestReadDuringAHandedStreamIsRefused(t *testing.T) {
+	client, clientSide := net.Pipe()
+	worker, workerSide := net.Pipe()
+	s := &handedStream{from: &Handed{log: quiet, over: t.Context(), next: &heir{}}, client: clientSide, worker: workerSide}
+	done := make(chan struct{})
+	go func() {
+		s.run()
+		close(done)
+	}()
+	text := message("two", length(bodyText), bodyText)
+	io.WriteString(client, text)
+	io.WriteString(client, text[:60]) // is read once the one before was counted
+	io.WriteString(client, text[60:])
+	io.WriteString(client, "P")
+	go io.WriteString(worker, chunk("data: {}\n\n")+"0\r\n\r\n")
+	got, err := io.ReadAll(client)
+	receive(t, done, "the stream's end")
+	refused := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+	want := chunk("data: {}\n\n") + "0\r\n\r\n" + refused + "\r\n" + refused + "Connection: close\r\n\r\n"
+	if string(got) != want || err != nil {
+		t.Errorf("%q %v, want %q", got, err, want)
+	}
+}
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -86,10 +86,13 @@
 func (r *relay) give() bool {
 	s := r.Stream.(*stream)
 	defer syscall.Close(s.conn.gift)
+	r.conn.ends.pause()
 	client, err := dup(r.conn.Conn)
 	if err == nil {
 		defer syscall.Close(client)
-		err = give(r.heirs.get(), handedOf(s.conn.chunk, s.scan), client, s.conn.gift)
+		at := handedOf(s.conn.chunk, s.scan)
+		at.Behind = int(r.conn.behind.Load())
+		err = give(r.heirs.get(), at, client, s.conn.gift)
 	}
 	if err != nil {
 		r.log.Warn("a stream was not handed on", "err", err)
