--- a/cmd/rowanyard/commands.go
+++ b/cmd/rowanyard/commands.go
@@ -89,6 +89,7 @@
 {{end}}{{with .Reports.Listen}}  reports of engines   {{.}}, at most {{$.File.Reports.Blocks}} blocks known, doubtful for {{$.File.Reports.BoundMs}} ms at most
 {{end}}{{with .Metrics.Listen}}  metrics              http://{{.}}/metrics
 {{end}}{{with .Traces.Endpoint}}  traces               {{.}}, {{$.File.Traces.Share}} of the requests
+{{end}}{{if .Settings.Reload}}  settings             changed ones are in force after SIGHUP
 {{end}}{{end}}{{if not .Classes}}  The descriptions' classes are not checked: name the platform's file with --config.
 {{end}}`))
 
