--- a/internal/httpfront/descriptors_test.go
+++ b/internal/httpfront/descriptors_test.go
@@ -71,7 +71,7 @@
 	}
 	addr := listening(t, f, 10)
 	dial(t, addr, patiently(message("busy", length(bodyText), bodyText)))
-	<-h.came
+	receive(t, h.came, "the busy request at its worker")
 	idle := dial(t, addr, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
 	in := bufio.NewReader(idle)
 	if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != 200 {
--- a/internal/httpfront/flush_test.go
+++ b/internal/httpfront/flush_test.go
@@ -122,7 +122,7 @@
 	}
 	all.Wait()
 	stop()
-	<-full
+	receive(t, full, "the end of the slow client")
 	slow.Close()
-	c.Wait(t.Context())
+	waitForCore(t, c)
 }
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -122,7 +122,7 @@
 	if res.StatusCode != 200 || text != "data: {}\n\n" || err == nil {
 		t.Errorf("%d %q: a broken stream ended well", res.StatusCode, text)
 	}
-	c.Wait(context.Background())
+	waitForCore(t, c)
 }
 
 func TestClientThatStopsReadingIsLetGo(t *testing.T) {
@@ -142,8 +142,8 @@
 		t.Fatal(err)
 	}
 	defer res.Body.Close()
-	<-left
-	c.Wait(context.Background())
+	receive(t, left, "the end of the write")
+	waitForCore(t, c)
 }
 
 // Guards against a library that sends a request again by itself, or an outcome that hides that it
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -131,7 +131,7 @@
 			case <-time.After(20 * time.Second): // the attempt would go on for an hour
 				t.Fatal("its attempt goes on")
 			}
-			c.Wait(t.Context())
+			waitForCore(t, c)
 			if n := len(h.came); n > 0 {
 				t.Errorf("%d more attempts: %v", n, <-h.came)
 			}
@@ -369,8 +369,8 @@
 			t.Errorf("%d: %v %q %v", n, res, text, err)
 		}
 		if n == 0 {
-			<-idle
+			receive(t, idle, "the connection at rest")
 		}
 	}
-	<-ended
+	receive(t, ended, "the end of Shutdown")
 }
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -177,6 +177,16 @@
 // eventLimit is how long a test waits for an event that has to come: a hang is a failure.
 const eventLimit = 20 * time.Second
 
+// waitForCore waits until the core has nothing left to do for requests that have come.
+func waitForCore(t *testing.T, c *core.Core) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), eventLimit)
+	defer stop()
+	if c.Wait(ctx); ctx.Err() != nil {
+		t.Fatal("requests go on")
+	}
+}
+
 // receive waits for an event.
 func receive[T any](t *testing.T, events <-chan T, what string) T {
 	t.Helper()
@@ -374,7 +384,7 @@
 		if text, err := io.ReadAll(res.Body); err == nil || strings.ContainsAny(string(text), "\x00\x01") {
 			t.Errorf("%s: %q %v", name, text, err)
 		}
-		c.Wait(context.Background())
+		waitForCore(t, c)
 	}
 }
 
@@ -493,7 +503,7 @@
 		to.To.Addr = slow
 		done <- x.Try(ctx, to)
 	}()
-	<-at
+	receive(t, at, "the first attempt at the worker")
 	if res := x.Try(context.Background(), a); res.Status != decide.Moot {
 		t.Errorf("%+v", res)
 	}
