--- a/cmd/scaletest/main_test.go
+++ b/cmd/scaletest/main_test.go
@@ -36,6 +36,7 @@
 		"no program":        {"router --workers 4 --rates 0 --program no-such-program", "no-such-program"},
 		"no descriptors":    {"router --workers 4 --rates 0 --sockets 100000000", "descriptors are needed"},
 		"one watcher":       {"discovery --routers 1", "--routers: 1"},
+		"scrapes":           {"router --scrape -1s", "--scrape"},
 		"no changes":        {"settings --changes 0", "--changes"},
 		"no clients' rate":  {"settings --rate -1", "--rate"},
 		"zero servers":      {"fleet --servers 0", "0 servers"},
@@ -71,6 +72,8 @@
 	}{
 		"router": {"router --program " + program + " --workers 10,20,30 --rates 0,20 --settle 100ms --window 500ms",
 			[]string{"probes/s", "CPU % by worker", "3 points"}},
+		"scraped router": {"router --program " + program + " --workers 10 --rates 20 --settle 100ms --window 500ms --scrape 50ms",
+			[]string{"scrape B/s"}},
 		"discovery": {"discovery --program " + program + " --routers 10 --workers 60 --steady 5 --interval 0s --changes 20 --idle 100ms",
 			[]string{"no change", "one by one", "burst", "zone lost", "zone back", "all restart", "10 routers, one of them real"}},
 		"settings": {"settings --program " + program + " --workers 20 --rate 20 --changes 4 --interval 50ms --settle 100ms",
--- a/cmd/scaletest/router.go
+++ b/cmd/scaletest/router.go
@@ -20,6 +20,7 @@
 	Readers   float64       `help:"Share of workers that read prompts." default:"${readers}"`
 	Zones     int           `help:"Zones of the workers." default:"${zones}"`
 	NoProbes  bool          `help:"Workers do not answer probes: what probes cost is the difference."`
+	Scrape    time.Duration `help:"Time between two scrapes of the router's metrics, 0: they are off." default:"0s"`
 	Tokens    int           `help:"Events of an answer." default:"4"`
 	TokenTime time.Duration `help:"Time between two events." default:"0s"`
 	Prompt    int           `help:"Bytes of a prompt." default:"8000"`
@@ -56,6 +57,8 @@
 		return fmt.Errorf("--readers: %g, a share lies between 0 and 1", c.Readers)
 	case c.Zones < 1:
 		return fmt.Errorf("--zones: %d, there is one at least", c.Zones)
+	case c.Scrape < 0:
+		return fmt.Errorf("--scrape: %v, want 0 or more", c.Scrape)
 	case c.Window <= 0 || c.Settle < 0:
 		return fmt.Errorf("--window and --settle: %v and %v are no times to measure in", c.Window, c.Settle)
 	case c.Prompt < 4 || c.Tokens < 1:
@@ -73,7 +76,7 @@
 	for _, rate := range c.Rates {
 		for _, workers := range c.Workers {
 			result, err := onerouter.Run(ctx, onerouter.Options{Program: c.Program, Routers: c.Routers, Workers: workers, Readers: c.Readers,
-				Zones: c.Zones, NoProbes: c.NoProbes, Rate: rate, Tokens: c.Tokens, TokenTime: c.TokenTime, Prompt: c.Prompt, Settle: c.Settle, Window: c.Window,
+				Zones: c.Zones, NoProbes: c.NoProbes, Scrape: c.Scrape, Rate: rate, Tokens: c.Tokens, TokenTime: c.TokenTime, Prompt: c.Prompt, Settle: c.Settle, Window: c.Window,
 				MemoryMB: c.Memory, Sockets: c.Sockets, Listen: c.Listen, Seed: c.Seed})
 			if err != nil {
 				return fmt.Errorf("%d workers, %g requests/s: %w", workers, rate, err)
--- /dev/null
+++ b/internal/scale/onerouter/config.go
@@ -0,0 +1,66 @@
+package onerouter
+
+// This file writes the files that the router is started with.
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"rowanyard/internal/httpfront"
+)
+
+// config is the router's configuration file.
+type config struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     httpfront.List  `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// operatorFile is the operator's file.
+type operatorFile struct {
+	Settings struct {
+		Reload bool `json:"reload"`
+	} `json:"settings"`
+	Metrics struct {
+		Listen string `json:"listen"`
+	} `json:"metrics"`
+}
+
+func (r *Process) configFile() string   { return filepath.Join(r.folder, "config.json") }
+func (r *Process) operatorFile() string { return filepath.Join(r.folder, "operator.json") }
+
+// writeConfig writes the router's configuration in place of the one before.
+func (r *Process) writeConfig() error { return writeJSON(r.configFile(), r.config) }
+
+// writeOperatorFile writes the operator's file, with an address for metrics if they are asked for.
+func (r *Process) writeOperatorFile(o Options) (err error) {
+	var f operatorFile
+	f.Settings.Reload = o.Reload
+	if o.Scrape > 0 {
+		if r.scraper.address, err = freeAddress(""); err != nil {
+			return err
+		}
+		f.Metrics.Listen = r.scraper.address
+	}
+	return writeJSON(r.operatorFile(), f)
+}
+
+// writeJSON writes a value as a file that only this user reads.
+func writeJSON(path string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
--- a/internal/scale/onerouter/onerouter.go
+++ b/internal/scale/onerouter/onerouter.go
@@ -32,8 +32,9 @@
 	Window    time.Duration // of the measurement; in a result, as long as it was
 	MemoryMB  float64       // limits that the router is told
 	Sockets   int
-	Listen    string // where the router listens, "" = any free port
-	Reload    bool   // it takes changed settings at SIGHUP, see Process.Reload
+	Listen    string        // where the router listens, "" = any free port
+	Reload    bool          // it takes changed settings at SIGHUP, see Process.Reload
+	Scrape    time.Duration // between two scrapes of its metrics, 0: they are off
 	Seed      uint64
 }
 
@@ -46,6 +47,7 @@
 	Descriptors int           // open, at the end
 	Met         hollow.Counts // by the workers
 	Discovery   Flow          // from the router's point of view
+	Scrapes     Scrapes
 	Log         int64
 	Load        load.Result // of the whole run
 	Ready       time.Duration
@@ -127,6 +129,9 @@
 	defer stop()
 	played := make(chan load.Result, 1)
 	go func() { played <- router.Load(playing, o) }()
+	if o.Scrape > 0 {
+		go router.scraper.run(playing, o.Scrape)
+	}
 	if err := Pause(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
@@ -170,4 +175,5 @@
 	r.Met = b.Workers.Since(a.Workers)
 	r.Discovery = Flow{In: b.Discovery.In - a.Discovery.In, Out: b.Discovery.Out - a.Discovery.Out}
 	r.Log = b.Log - a.Log
+	r.Scrapes = b.Scrapes.since(a.Scrapes)
 }
--- a/internal/scale/onerouter/process.go
+++ b/internal/scale/onerouter/process.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -35,23 +34,6 @@
 	reloadLook = 100 * time.Microsecond
 )
 
-// config is the router's configuration file.
-type config struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Discovery string          `json:"discovery"`
-	Seed      string          `json:"seed"`
-	Limits    limits          `json:"limits"`
-	Known     httpfront.List  `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
-}
-
-type limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB float64 `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
-}
-
 // Process is the router that is measured, among what it is measured with.
 type Process struct {
 	fleet   *hollow.Fleet
@@ -60,6 +42,7 @@
 	address string
 	folder  string
 	config  config
+	scraper scraper
 	log     logCounter
 	began   time.Time
 	ended   chan struct{} // closed once the process has ended
@@ -152,7 +135,7 @@
 		Known:    httpfront.List{Seq: 1, Whole: true, Hosts: hosts},
 		Settings: settings,
 	}}
-	if err := r.begin(o.Reload); err != nil {
+	if err := r.begin(o); err != nil {
 		return nil, errors.Join(err, os.RemoveAll(folder))
 	}
 	go func() {
@@ -163,34 +146,22 @@
 }
 
 // begin writes the router's files and starts it.
-func (r *Process) begin(reload bool) error {
+func (r *Process) begin(o Options) error {
 	if err := r.writeConfig(); err != nil {
 		return err
 	}
 	r.command.Env = append(os.Environ(), "ROUTER_CONFIG="+r.configFile())
-	if reload {
-		file := filepath.Join(r.folder, "operator.json")
-		if err := os.WriteFile(file, []byte(`{"settings": {"reload": true}}`), 0o600); err != nil {
+	if o.Reload || o.Scrape > 0 {
+		if err := r.writeOperatorFile(o); err != nil {
 			return err
 		}
-		r.command.Env = append(r.command.Env, "ROWANYARD_OPERATOR="+file)
+		r.command.Env = append(r.command.Env, "ROWANYARD_OPERATOR="+r.operatorFile())
 	}
 	r.command.Stderr = &r.log
 	r.began = time.Now()
 	return r.command.Start()
 }
 
-func (r *Process) configFile() string { return filepath.Join(r.folder, "config.json") }
-
-// writeConfig writes the router's configuration in place of the one before.
-func (r *Process) writeConfig() error {
-	text, err := json.Marshal(r.config)
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(r.configFile(), text, 0o600)
-}
-
 // Reload gives the router other settings and returns when it says that it has taken them.
 func (r *Process) Reload(ctx context.Context, settings json.RawMessage) error {
 	before := r.log.settingsTaken()
@@ -247,6 +218,7 @@
 	Process   procstat.Sample
 	Workers   hollow.Counts
 	Discovery Flow
+	Scrapes   Scrapes
 	Log       int64 // bytes
 }
 
@@ -257,7 +229,7 @@
 		return Moment{}, fmt.Errorf("the router has ended: %w: %s", err, r.log.lastLine())
 	}
 	toDiscovery, fromDiscovery := r.door.Bytes()
-	return Moment{Process: process, Workers: r.fleet.Counts(), Log: r.log.count(),
+	return Moment{Process: process, Workers: r.fleet.Counts(), Log: r.log.count(), Scrapes: r.scraper.counts(),
 		Discovery: Flow{In: fromDiscovery, Out: toDiscovery}}, nil
 }
 
