One count of what is under way, for requests, connections and handed streams

The core, the clients' connections at a shutdown and the streams that were taken over each had a counter and a wait of their own, two of them the same to the letter but for names and one over a goroutine and a WaitGroup: internal/inflight serves all three. A connection counts as open until its socket is closed. What is refused where a request was not kept is counted once, no longer stored and taken back.

Tests of the packages keep their assertions and pass with the race detector; core_test calls the count where it called the method that is gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"rowanyard/decide"
+	"rowanyard/internal/inflight"
 )
 
 // Worker is one entry of the worker list: what the module decides on, and where a carrier finds it.
@@ -107,8 +108,7 @@
 	heard   map[string]time.Time // listed workers' latest answers, none where the last attempt met silence
 	banned  map[string]bool      // workers that operators have taken out, listed or not
 	lastID  decide.RequestID
-	running int           // lives, and releases that go on after theirs
-	idle    chan struct{} // closed when there are none any more, nil: nobody waits
+	running inflight.Count // lives, and releases that go on after theirs
 
 	// Moved is told which workers have begun or ceased to take new work, after each change. Two changes at once may
 	// be told in either order: Wanted says what holds. Set before use.
@@ -216,7 +216,7 @@
 	q.ID = c.lastID
 	l.Request = q
 	c.lives[q.ID] = l
-	c.running++
+	c.running.Begin()
 	c.mu.Unlock()
 	go l.live()
 	return <-l.answer
@@ -239,35 +239,4 @@
 }
 
 // Wait returns when all that requests have left to do is done, or ctx ends. New ones may come meanwhile.
-func (c *Core) Wait(ctx context.Context) {
-	c.mu.Lock()
-	if c.running == 0 {
-		c.mu.Unlock()
-		return
-	}
-	if c.idle == nil {
-		c.idle = make(chan struct{})
-	}
-	idle := c.idle
-	c.mu.Unlock()
-	select {
-	case <-idle:
-	case <-ctx.Done():
-	}
-}
-
-// begins and ends count what is left to do.
-func (c *Core) begins() {
-	c.mu.Lock()
-	c.running++
-	c.mu.Unlock()
-}
-
-func (c *Core) ends() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.running--; c.running == 0 && c.idle != nil {
-		close(c.idle)
-		c.idle = nil
-	}
-}
+func (c *Core) Wait(ctx context.Context) { c.running.Wait(ctx) }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -302,7 +302,7 @@
 		}
 		c.SetWorkers(false, all)
 		c.hears("far7", heard)
-		c.begins()
+		c.running.Begin()
 		c.release(&life{core: c, via: s}, Worker{Server: decide.Server{ID: "r"}}, false, func() bool { return true })
 		if !slices.Equal(s.released, []string{want}) {
 			t.Errorf("taken by %v, want %s", s.released, want)
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -92,7 +92,7 @@
 // request comes, at each attempt's first token or end, and by its own timers. Its choices come back
 // on l.choices.
 func (l *life) live() {
-	defer l.core.ends()
+	defer l.core.running.End()
 	defer l.guard()
 	c := l.core
 
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -29,7 +29,7 @@
 		return
 	}
 	sends := l.sends.Load()
-	l.core.begins()
+	l.core.running.Begin()
 	go l.core.release(l, l.reader, l.unknown, func() bool { return l.sends.Load() == sends })
 	l.held, l.unknown, l.waiting = false, false, false
 }
@@ -50,7 +50,7 @@
 // of a read is unknown it is done once more a little later: the state may appear just after the first call.
 // still says that the request has not been sent again meanwhile, which would give it a state that is wanted.
 func (c *Core) release(l *life, first Worker, unknown bool, still func() bool) {
-	defer c.ends()
+	defer c.running.End()
 	ok := c.releaseOnce(l, first, still)
 	if unknown {
 		time.Sleep(releaseAgain)
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -263,8 +263,8 @@
 // endHere ends what is handed over where the rest of a request was not kept, and refuses that request and those behind it.
 func (c *clientConn) endHere() error {
 	c.refused = true
-	c.behind.Store(int32(pendingRequests(c.buf)))
-	c.refuseBehind()
+	c.behind.Store(0) // what was counted is among them
+	c.refuse(pendingRequests(c.buf))
 	return io.EOF
 }
 
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/inflight"
 )
 
 const (
@@ -37,13 +39,13 @@
 	conns  map[*clientConn]bool
 	turned chan struct{} // bounds those that are being turned away
 	log    *slog.Logger
-	told   time.Time     // the latest line about a full house, and since then:
-	away   int           // turned away
-	closed int           // closed for newcomers
-	left   chan struct{} // closed by leave
-	ending atomic.Bool   // connections end with their answer
-	empty  chan struct{} // closed with the last connection; nil: nobody waits for that
-	served chan struct{} // closed when Accept is not called any more
+	told   time.Time      // the latest line about a full house, and since then:
+	away   int            // turned away
+	closed int            // closed for newcomers
+	left   chan struct{}  // closed by leave
+	ending atomic.Bool    // connections end with their answer
+	open   inflight.Count // the connections
+	served chan struct{}  // closed when Accept is not called any more
 }
 
 func newClients(l net.Listener, most int, again time.Duration, log *slog.Logger) *clients {
@@ -181,6 +183,7 @@
 			x := &clientConn{Conn: c, from: l, since: time.Now()}
 			x.is(waiting)
 			l.conns[x] = true
+			l.open.Begin()
 			l.mu.Unlock()
 			return x
 		}
--- a/internal/httpfront/handed.go
+++ b/internal/httpfront/handed.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/inflight"
 )
 
 const (
@@ -103,7 +105,7 @@
 	over  context.Context // when it ends they go on to the next process
 	next  *heir
 
-	running sync.WaitGroup
+	running inflight.Count
 }
 
 // heir is where streams go at the end; no path, nowhere.
@@ -133,12 +135,7 @@
 // end takes nothing more and waits for what runs.
 func (h *Handed) end(ctx context.Context) {
 	h.l.Close()
-	done := make(chan struct{})
-	go func() { h.running.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	h.running.Wait(ctx)
 }
 
 func (h *Handed) serve() {
@@ -196,9 +193,9 @@
 	}
 	s.client, s.worker = conns[0], conns[1]
 	s.behind.Store(int32(at.Behind))
-	h.running.Add(1)
+	h.running.Begin()
 	go func() {
-		defer h.running.Done()
+		defer h.running.End()
 		s.run()
 	}()
 	return nil
--- a/internal/httpfront/lastrequest.go
+++ b/internal/httpfront/lastrequest.go
@@ -132,14 +132,10 @@
 
 // release gives the connection's place and socket back.
 func (c *clientConn) release() error {
-	l := c.from
-	l.mu.Lock()
-	delete(l.conns, c)
-	if len(l.conns) == 0 && l.empty != nil {
-		close(l.empty)
-		l.empty = nil
-	}
-	l.mu.Unlock()
+	defer c.from.open.End()
+	c.from.mu.Lock()
+	delete(c.from.conns, c)
+	c.from.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -246,25 +242,5 @@
 	case <-ctx.Done():
 		return false
 	}
-	return l.drained(ctx)
-}
-
-// drained waits until no connection is left, once no new one is taken. It says no where ctx ends first.
-func (l *clients) drained(ctx context.Context) bool {
-	l.mu.Lock()
-	if len(l.conns) == 0 {
-		l.mu.Unlock()
-		return true
-	}
-	if l.empty == nil {
-		l.empty = make(chan struct{})
-	}
-	empty := l.empty
-	l.mu.Unlock()
-	select {
-	case <-empty:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return l.open.Wait(ctx)
 }
