--- a/cmd/scaletest/discovery.go
+++ b/cmd/scaletest/discovery.go
@@ -1,13 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"text/tabwriter"
 	"time"
 
-	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/listrun"
 	"rowanyard/internal/scale/onerouter"
 )
@@ -30,13 +30,12 @@
 
 // Validate implements kong's check.
 func (c *discoveryCommand) Validate() error {
+	if err := cmp.Or(checkWorkers(c.Workers), checkReaders(c.Readers)); err != nil {
+		return err
+	}
 	switch {
 	case c.Routers < 2 || c.Routers > mostRouters:
 		return fmt.Errorf("--routers: %d, there may be 2 to %d", c.Routers, mostRouters)
-	case c.Workers < 2 || c.Workers > hollow.Most:
-		return fmt.Errorf("--workers: %d, there may be 2 to %d", c.Workers, hollow.Most)
-	case !(c.Readers > 0 && c.Readers < 1):
-		return fmt.Errorf("--readers: %g, a share lies between 0 and 1", c.Readers)
 	case c.Zones < 1 || c.Steady < 1 || c.Changes < 1 || c.Idle <= 0 || c.Interval < 0:
 		return fmt.Errorf("--zones, --steady, --changes, --idle, --interval: there is one of each at least")
 	}
--- a/cmd/scaletest/router.go
+++ b/cmd/scaletest/router.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/onerouter"
 )
 
@@ -32,29 +31,24 @@
 	Seed      uint64        `help:"Seed of the load." default:"1"`
 }
 
-// Limits of what makes sense to ask for.
-const (
-	mostRate        = 10_000
-	spareDescriptor = 64 // of this process beside connections
-)
-
 // Validate implements kong's check.
 func (c *routerCommand) Validate() error {
 	for _, n := range c.Workers {
-		if n < 2 || n > hollow.Most {
-			return fmt.Errorf("--workers: %d, there may be 2 to %d", n, hollow.Most)
+		if err := checkWorkers(n); err != nil {
+			return err
 		}
 	}
 	for _, rate := range c.Rates {
-		if !(rate >= 0 && rate <= mostRate) {
-			return fmt.Errorf("--rates: %g, there may be 0 to %d a second", rate, mostRate)
+		if err := checkRate("--rates", rate); err != nil {
+			return err
 		}
 	}
+	if err := checkReaders(c.Readers); err != nil {
+		return err
+	}
 	switch {
 	case c.Routers < 1:
 		return fmt.Errorf("--routers: %d, there is one at least", c.Routers)
-	case !(c.Readers > 0 && c.Readers < 1):
-		return fmt.Errorf("--readers: %g, a share lies between 0 and 1", c.Readers)
 	case c.Zones < 1:
 		return fmt.Errorf("--zones: %d, there is one at least", c.Zones)
 	case c.Scrape < 0:
--- a/cmd/scaletest/settings.go
+++ b/cmd/scaletest/settings.go
@@ -1,12 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"time"
 
-	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/onerouter"
 	"rowanyard/internal/scale/settingsrun"
 )
@@ -33,14 +33,10 @@
 
 // Validate implements kong's check.
 func (c *settingsCommand) Validate() error {
-	switch {
-	case c.Workers < 2 || c.Workers > hollow.Most:
-		return fmt.Errorf("--workers: %d, there may be 2 to %d", c.Workers, hollow.Most)
-	case !(c.Rate >= 0 && c.Rate <= mostRate):
-		return fmt.Errorf("--rate: %g, there may be 0 to %d a second", c.Rate, mostRate)
-	case !(c.Readers > 0 && c.Readers < 1):
-		return fmt.Errorf("--readers: %g, a share lies between 0 and 1", c.Readers)
-	case c.Routers < 1 || c.Zones < 1 || c.Changes < 1 || c.Interval < 0 || c.Settle < 0:
+	if err := cmp.Or(checkWorkers(c.Workers), checkRate("--rate", c.Rate), checkReaders(c.Readers)); err != nil {
+		return err
+	}
+	if c.Routers < 1 || c.Zones < 1 || c.Changes < 1 || c.Interval < 0 || c.Settle < 0 {
 		return fmt.Errorf("--routers, --zones, --changes, --interval, --settle: there is one of each at least")
 	}
 	return nil
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -396,9 +396,5 @@
 	d := NewDiscovery(Names{}, c, 0, quiet)
 	defer d.Close()
 	d.Follow(s.Listener.Addr().String(), 41)
-	select {
-	case <-got:
-	case <-time.After(20 * time.Second): // a turn among so many takes a day
-		t.Error("not asked")
-	}
+	receive(t, got, "the call of discovery: a turn among so many takes a day")
 }
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -120,17 +120,9 @@
 			h := newHolding(t)
 			f, c := patient(t, h.Addr().String())
 			client := dial(t, listening(t, f, 10), patiently(x.text))
-			select {
-			case <-h.came:
-			case <-time.After(20 * time.Second):
-				t.Fatal("it is not sent")
-			}
+			receive(t, h.came, "its attempt")
 			x.leave(client)
-			select {
-			case <-h.ended:
-			case <-time.After(20 * time.Second): // the attempt would go on for an hour
-				t.Fatal("its attempt goes on")
-			}
+			receive(t, h.ended, "the end of its attempt, which would go on for an hour")
 			waitForCore(t, c)
 			if n := len(h.came); n > 0 {
 				t.Errorf("%d more attempts: %v", n, <-h.came)
@@ -209,11 +201,7 @@
 	go f.Serve(&tardy{l, 100}, 1000)
 	stays := dial(t, l.Addr().String(), patiently(message("stays", length(bodyText), bodyText)))
 	for id := ""; id != "stays"; {
-		select {
-		case id = <-h.came:
-		case <-time.After(20 * time.Second):
-			t.Fatal("who stays is not served")
-		}
+		id = receive(t, h.came, "the attempt of who stays")
 	}
 	stays.Close()
 	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
@@ -335,13 +323,8 @@
 	answers := []string{"202 X\r\nContent-Length: 2\r\n\r\n{}", "200 X\r\nContent-Length: 10\r\n\r\ndata: {}\n\n"}
 	w, _ := rawWorker(t, func(n int) string { return "HTTP/1.1 " + answers[n%2] })
 	f, _ := aimingAt(t, w, time.Hour)
-	idle, ended := make(chan struct{}, 9), make(chan struct{})
-	f.server.ConnState = func(c net.Conn, s http.ConnState) {
-		connState(c, s)
-		if s == http.StateIdle {
-			idle <- struct{}{}
-		}
-	}
+	ended := make(chan struct{})
+	states := followStates(f)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -369,7 +352,7 @@
 			t.Errorf("%d: %v %q %v", n, res, text, err)
 		}
 		if n == 0 {
-			receive(t, idle, "the connection at rest")
+			states.waitForRest(t, c)
 		}
 	}
 	receive(t, ended, "the end of Shutdown")
--- a/internal/scale/listrun/listrun.go
+++ b/internal/scale/listrun/listrun.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"rowanyard/internal/httpfront"
-	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/onerouter"
 	"rowanyard/internal/scale/registry"
 	"rowanyard/internal/scale/watchers"
@@ -65,28 +64,17 @@
 
 // Run measures all kinds of changes, one after the other.
 func Run(ctx context.Context, o Options) (steps []Step, err error) {
-	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers})
-	if err != nil {
-		return nil, err
-	}
-	defer fleet.Close()
-	r := &run{Options: o, hosts: onerouter.Entries(fleet, o.Workers, o.Zones), random: rand.New(rand.NewPCG(o.Seed, 0))}
-	r.registry = registry.New(r.hosts)
-	defer r.registry.Close()
-	realDoor, err := r.registry.Open()
+	d, err := onerouter.Deploy(ctx, onerouter.Options{Program: o.Program, Routers: o.Routers, Workers: o.Workers, Readers: o.Readers,
+		Zones: o.Zones, MemoryMB: onerouter.DefaultMemory, Sockets: onerouter.DefaultSockets, Seed: o.Seed})
 	if err != nil {
 		return nil, err
 	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	r := &run{Options: o, registry: d.Registry, router: d.Router, hosts: d.Registry.Hosts(), random: rand.New(rand.NewPCG(o.Seed, 0))}
 	hollowDoor, err := r.registry.Open()
 	if err != nil {
 		return nil, err
 	}
-	r.router, err = onerouter.Start(ctx, onerouter.Options{Program: o.Program, Routers: o.Routers, Workers: o.Workers, Zones: o.Zones,
-		MemoryMB: onerouter.DefaultMemory, Sockets: onerouter.DefaultSockets, Seed: o.Seed}, fleet, realDoor, r.hosts)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, r.router.End()) }()
 	r.group = watchers.Start(o.Routers-1, hollowDoor.Address, 1)
 	defer r.group.Close()
 	if _, err := r.change(ctx, r.flip()); err != nil { // all watches are open once it has come
--- a/internal/scale/onerouter/onerouter.go
+++ b/internal/scale/onerouter/onerouter.go
@@ -12,7 +12,6 @@
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/load"
-	"rowanyard/internal/scale/registry"
 	"rowanyard/internal/standin"
 )
 
@@ -108,55 +107,33 @@
 
 // Run plays one run.
 func Run(ctx context.Context, o Options) (result Result, err error) {
-	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers, Tokens: o.Tokens, TokenTime: o.TokenTime})
+	d, err := Deploy(ctx, o)
 	if err != nil {
 		return Result{}, err
 	}
-	defer fleet.Close()
-	list := registry.New(Entries(fleet, o.Workers, o.Zones))
-	defer list.Close()
-	door, err := list.Open()
-	if err != nil {
-		return Result{}, err
-	}
-	router, err := Start(ctx, o, fleet, door, list.Hosts())
-	if err != nil {
-		return Result{}, err
-	}
-	defer func() { err = errors.Join(err, router.End()) }()
-	result = Result{Options: o, Ready: router.Ready}
-	playing, stop := context.WithCancel(ctx)
-	defer stop()
-	played := make(chan load.Result, 1)
-	go func() { played <- router.Load(playing, o) }()
-	if o.Scrape > 0 {
-		go router.scraper.run(playing, o.Scrape)
-	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	result = Result{Options: o, Ready: d.Router.Ready}
+	end := d.Play(ctx, o)
+	defer end()
 	if err := Pause(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
-	before, err := router.Sample()
+	before, err := d.Router.Sample()
 	if err != nil {
 		return Result{}, err
 	}
 	if err := Pause(ctx, o.Window); err != nil {
 		return Result{}, err
 	}
-	after, err := router.Sample()
+	after, err := d.Router.Sample()
 	if err != nil {
 		return Result{}, err
 	}
-	stop()
-	result.Load = <-played
+	result.Load = end()
 	result.between(before, after)
 	return result, nil
 }
 
-// Load plays the clients of a run at the router until ctx ends.
-func (r *Process) Load(ctx context.Context, o Options) load.Result {
-	return load.Run(ctx, load.Options{Address: r.address, Rate: o.Rate, Seed: o.Seed, Class: className, Prompt: o.Prompt})
-}
-
 // Pause waits for so long, or until ctx ends.
 func Pause(ctx context.Context, wait time.Duration) error {
 	select {
--- a/internal/scale/onerouter/process.go
+++ b/internal/scale/onerouter/process.go
@@ -50,48 +50,41 @@
 	Ready time.Duration // from the start until it wanted clients
 }
 
+// logged is what a router's log has told so far.
+type logged struct {
+	bytes    int64
+	version  int64 // of the latest list
+	settings int64 // changes of the settings that were taken
+}
+
 // logCounter counts what the router logs and keeps its last words.
 type logCounter struct {
-	mu    sync.Mutex
-	bytes int64
-	last  bytes.Buffer
-	seq   int64 // of the latest list that it tells of
-	taken int64 // changes of the settings that it says it has taken
+	mu   sync.Mutex
+	told logged
+	last bytes.Buffer
 }
 
 func (l *logCounter) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bytes += int64(len(p))
+	l.told.bytes += int64(len(p))
 	l.last.Write(p)
 	for _, found := range listed.FindAllSubmatch(p, -1) {
 		if seq, err := strconv.ParseInt(string(found[1]), 10, 64); err == nil {
-			l.seq = seq
+			l.told.version = seq
 		}
 	}
-	l.taken += int64(bytes.Count(p, newSettings))
+	l.told.settings += int64(bytes.Count(p, newSettings))
 	if over := l.last.Len() - lastWords; over > 0 {
 		l.last.Next(over)
 	}
 	return len(p), nil
 }
 
-func (l *logCounter) count() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.bytes
-}
-
-func (l *logCounter) version() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.seq
-}
-
-func (l *logCounter) settingsTaken() int64 {
+func (l *logCounter) counts() logged {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.taken
+	return l.told
 }
 
 // lastLine is the last whole line of the log.
@@ -164,7 +157,7 @@
 
 // Reload gives the router other settings and returns when it says that it has taken them.
 func (r *Process) Reload(ctx context.Context, settings json.RawMessage) error {
-	before := r.log.settingsTaken()
+	before := r.log.counts().settings
 	r.config.Settings = settings
 	if err := r.writeConfig(); err != nil {
 		return err
@@ -174,7 +167,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, reloadWait)
 	defer stop()
-	for r.log.settingsTaken() == before {
+	for r.log.counts().settings == before {
 		if err := Pause(ctx, reloadLook); err != nil {
 			return fmt.Errorf("the router has not taken its new settings: %w: %s", err, r.log.lastLine())
 		}
@@ -229,7 +222,7 @@
 		return Moment{}, fmt.Errorf("the router has ended: %w: %s", err, r.log.lastLine())
 	}
 	toDiscovery, fromDiscovery := r.door.Bytes()
-	return Moment{Process: process, Workers: r.fleet.Counts(), Log: r.log.count(), Scrapes: r.scraper.counts(),
+	return Moment{Process: process, Workers: r.fleet.Counts(), Log: r.log.counts().bytes, Scrapes: r.scraper.counts(),
 		Discovery: Flow{In: fromDiscovery, Out: toDiscovery}}, nil
 }
 
@@ -240,7 +233,7 @@
 var newSettings = []byte(`msg="new settings" `)
 
 // Version is the latest version of the list that the router says it has taken, 0 = none.
-func (r *Process) Version() int64 { return r.log.version() }
+func (r *Process) Version() int64 { return r.log.counts().version }
 
 // End ends the process.
 func (r *Process) End() error {
--- a/internal/scale/settingsrun/settingsrun.go
+++ b/internal/scale/settingsrun/settingsrun.go
@@ -10,10 +10,8 @@
 	"slices"
 	"time"
 
-	"rowanyard/internal/scale/hollow"
 	"rowanyard/internal/scale/load"
 	"rowanyard/internal/scale/onerouter"
-	"rowanyard/internal/scale/registry"
 )
 
 // Options describe a run.
@@ -34,37 +32,23 @@
 
 // Run measures.
 func Run(ctx context.Context, o Options) (result Result, err error) {
-	fleet, err := hollow.Start(hollow.Options{Workers: o.Workers, Readers: o.Readers, Tokens: o.Tokens, TokenTime: o.TokenTime})
-	if err != nil {
-		return Result{}, err
-	}
-	defer fleet.Close()
-	list := registry.New(onerouter.Entries(fleet, o.Workers, o.Zones))
-	defer list.Close()
-	door, err := list.Open()
-	if err != nil {
-		return Result{}, err
-	}
 	o.Reload = true
-	router, err := onerouter.Start(ctx, o.Options, fleet, door, list.Hosts())
+	d, err := onerouter.Deploy(ctx, o.Options)
 	if err != nil {
 		return Result{}, err
 	}
-	defer func() { err = errors.Join(err, router.End()) }()
-	playing, stop := context.WithCancel(ctx)
-	defer stop()
-	played := make(chan load.Result, 1)
-	go func() { played <- router.Load(playing, o.Options) }()
+	defer func() { err = errors.Join(err, d.Close()) }()
+	end := d.Play(ctx, o.Options)
+	defer end()
 	if err := onerouter.Pause(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
-	result.CPU, result.Window, err = used(router, func() error { return o.change(ctx, router, &result) })
+	result.CPU, result.Window, err = used(d.Router, func() error { return o.change(ctx, d.Router, &result) })
 	if err != nil {
 		return Result{}, err
 	}
-	result.Without, _, err = used(router, func() error { return onerouter.Pause(ctx, result.Window) })
-	stop()
-	result.Load = <-played
+	result.Without, _, err = used(d.Router, func() error { return onerouter.Pause(ctx, result.Window) })
+	result.Load = end()
 	slices.Sort(result.Delays)
 	return result, err
 }
