Test of a cancelled call: names the listed reader, counts by the message, lists are checked

Cause: the test put "reader-1" out, which is not in the list (the one reader is reader-0), so nothing kept the request waiting: the router probed for 10 ms, read, and granted a write if the cancel came later than that. The reads were counted under the request's id where the stand-in counts by message, so that check could not fail. The two events that cross are the router's look at its probes and the cancel.

Change: the reader that is listed drains; a list that names a worker which is not there fails the test; reads and writes are counted by message.

--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -100,11 +100,16 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		b.t.Fatal(err)
 	}
+	found := 0
 	for i := range l.Hosts {
 		if draining[l.Hosts[i].Host] {
 			l.Hosts[i].Health = "draining"
+			found++
 		}
 	}
+	if found != len(draining) {
+		b.t.Fatalf("draining %v: not all of them are listed", draining)
+	}
 	b.core.SetWorkers(true, b.names.Workers(l, slog.New(slog.DiscardHandler)))
 }
 
@@ -304,7 +309,7 @@
 	patient.Hold, patient.Drain = time.Hour, 2*time.Hour
 	var lines syncBuffer
 	b := startOn(t, standin.Options{Readers: 1, Writers: 1}, patient, slog.New(slog.NewTextHandler(&lines, nil)))
-	b.list(map[string]bool{"reader-1": true})
+	b.list(map[string]bool{"reader-0": true}) // the only one: the request waits for a reader
 	ctx, cancel := context.WithCancel(b.caller("p1").ctx())
 	asked := make(chan error)
 	go func() {
@@ -325,8 +330,8 @@
 		t.Errorf("the request went on without its caller: %s", text)
 	}
 	b.list(nil)
-	if n := b.fleet.Calls("read", "q1"); n != 0 {
-		t.Errorf("read %d times for a caller that had gone", n)
+	if n := b.fleet.Calls("read", "k") + b.fleet.Calls("write", "k"); n != 0 {
+		t.Errorf("sent %d times for a caller that had gone", n)
 	}
 }
 
