--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -50,6 +50,8 @@
 	ReadTime  time.Duration
 	// Behave says what goes wrong with the n-th call of a stage ("read" or "write") for a message.
 	Behave func(stage, key string, n int) Fault
+	// Via is where a worker at an address is listed instead, such as a proxy in front of it; nil: at its own.
+	Via func(host, address string) string
 	// Seen is told what happens at a worker, under the Fleet's lock: "out" and "in" round each attempt, "held" and
 	// "freed" of a state, "effect" of a write.
 	Seen func(what, id, class, host string)
@@ -98,8 +100,11 @@
 		if err != nil {
 			return nil, err
 		}
-		f.hosts = append(f.hosts, Host{Host: fmt.Sprintf("%s-%d", kind, i), Dial: l.Addr().String(), Site: "here",
-			Class: kind, Block: 1, Health: "up", Share: 1})
+		h := Host{Host: fmt.Sprintf("%s-%d", kind, i), Dial: l.Addr().String(), Site: "here", Class: kind, Block: 1, Health: "up", Share: 1}
+		if o.Via != nil {
+			h.Dial = o.Via(h.Host, h.Dial)
+		}
+		f.hosts = append(f.hosts, h)
 		w := &worker{fleet: f, name: f.hosts[i].Host, reader: kind == "reader"}
 		if o.GRPC {
 			g := grpc.NewServer()
