Held states are let go at the pin limit though a write is out; wall clock read in one place

(1) A write counted as out once sent; nothing was let go while anything was out, and the module counted the pin limit anew from every end but a failed connect. A silent connection takes bytes and tells nothing. (2) The wait before a write on a reused connection was a span of the wall clock: set back an hour it lasted until the attempt's time was up. Class: what this process believes it has done stands for what has happened elsewhere.

No second read is made that no write could follow. Rounds of turns at cold servers count from their start.

--- a/decide/api.go
+++ b/decide/api.go
@@ -129,6 +129,8 @@
 	Hint      time.Duration // rough answer length at TokenAim a token, 0 = none
 	Repeat    bool          // known to be a client's further try
 	Resumed   bool          // came again after its stream broke
+	// Leased says that its carrier lets go of what is held by itself once whoever carries it gives no sign.
+	Leased bool
 	// Kept is how much of the prompt servers say themselves that they keep, by id. It goes before what this front
 	// remembers of them; of a server that is not in it nothing is told. nil: there are no reports.
 	Kept map[string]int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,6 +45,11 @@
 	scoutFar    = 1                      // ... so many of them outside the reader's cell
 	writerJam   = 0.9                    // a writer with so much of its memory held has no room
 	pinShare    = 0.7                    // share of the pin limit for which a state may wait for a writer
+	confirmWait = 120 * time.Millisecond // a server without a sign so long after a write is probed ...
+	confirmMute = 60 * time.Millisecond  // ... and silent if it has not answered after this
+	heardFresh  = 500 * time.Millisecond // one that has answered within this is not probed before a write
+	troubleSpan = 10 * time.Second       // so long after one was found silent others may be, too
+	freshNear   = 2                      // writers probed during a read, by a handful of fronts
 	holdStep    = 50 * time.Millisecond  // a request that no server may take is looked at again
 	askAgain    = time.Second            // a failed call for the server list is made again after this
 	askToken    = 1 << 62                // the timer token for that; others are request ids
@@ -233,9 +238,8 @@
 
 // next sends p where its state says, or ends it.
 func (r *Router) next(p *request) {
-	spent := r.set.MaxAttempts > 0 && len(p.sent) >= r.set.MaxAttempts
-	spent = spent || p.holder != nil && r.set.PinLimit > 0 && r.now >= p.heldAt+r.set.PinLimit
-	if p.answered || spent || p.ran != nil && p.class.Effect == Unsafe {
+	late := p.holder != nil && r.set.PinLimit > 0 && r.now >= p.heldAt+r.set.PinLimit
+	if p.answered || late || !r.attemptsLeft(p, 1) || p.ran != nil && p.class.Effect == Unsafe {
 		r.giveUp(p)
 		return
 	}
@@ -248,6 +252,10 @@
 		return
 	}
 	if s := r.pickReader(p); s != nil {
+		if s.role == Reader && !r.attemptsLeft(p, 2) { // a read that no write could follow
+			r.giveUp(p)
+			return
+		}
 		if r.look(p, s) {
 			return
 		}
@@ -261,66 +269,9 @@
 	r.hold(p, p.arrived+r.aim(p))
 }
 
-// look probes the server that p would go to, and the one next in its order, once, and looks at p
-// again when the answers should be there. Acts where servers tell probes how much waits there and
-// this front has not lately seen for itself. Guards against drowning homes that many fronts feed,
-// each too seldom to notice, and against hung ones: a server that leaves a probe unanswered while
-// another answers is passed over (admits). It costs two probes and some milliseconds, which hurts
-// where aims are short.
-func (r *Router) look(p *request, s *server) bool {
-	if !r.set.CanProbe || p.looked || !s.silent && s.wait.known(r.now, rateSpan) >= 1 {
-		return false
-	}
-	p.looked = true
-	for i, o := range []*server{s, p.second} {
-		if o != nil && (i == 0 || o != s) {
-			o.probedAt = r.now
-			r.out.Probe(o.ID)
-		}
-	}
-	p.retryAt = r.now + max(probeWait, 2*r.set.Tick)
-	r.out.SetTimer(uint64(p.ID), p.retryAt)
-	return true
-}
-
-// scout probes some writers near the reader that p goes to, so that their load is known when it has been
-// read. Acts where so many fronts feed the writers that own counts tell nothing of them. Guards against the
-// few writers of a cell that drown while each front sends one answer a minute there; it costs three probes.
-func (r *Router) scout(p *request, reader *server) {
-	if !r.set.CanProbe || r.alike() == float64(r.set.Fronts) {
-		return
-	}
-	near, way := scoutNear, r.ready(p, Writer)
-	r.shuffle(way)
-	if w := p.named; w != nil && !r.warm(w) && slices.Contains(way, w) {
-		near--
-		r.probe(w)
-	}
-	for far := range distances {
-		for _, w := range way {
-			if distance(w, reader) != far || w.Cell == reader.Cell && near <= scoutFar {
-				continue
-			}
-			if near--; near < 0 {
-				return
-			}
-			r.probe(w)
-		}
-	}
-}
-
-// probe probes a writer, unless that was done lately.
-func (r *Router) probe(w *server) {
-	if r.now-w.probedAt > probeFresh/2 {
-		w.probedAt = r.now
-		r.out.Probe(w.ID)
-	}
-}
-
-// jammed says that a probe has lately told that s has no room, or is not answered where others are.
-func (r *Router) jammed(s *server) bool {
-	mute := s.probedAt > s.loadAt && r.now-s.probedAt > probeMute && r.now-s.probedAt < probeOld
-	return mute && r.toldAt >= s.probedAt || r.told(s) && (s.queue >= 1 || s.load > writerJam)
+// attemptsLeft says whether p may be sent so many times more.
+func (r *Router) attemptsLeft(p *request, attempts int) bool {
+	return r.set.MaxAttempts == 0 || len(p.sent)+attempts <= r.set.MaxAttempts
 }
 
 // hold looks at p again a little later, if that is before the limit.
@@ -355,6 +306,7 @@
 	}
 	if !read {
 		r.book(s, r.size(p), 1)
+		r.watchWrite(p)
 	}
 	patience := seconds(tryShare * (p.deadline - r.now).Seconds())
 	if p.class.Effect != Unsafe && p.holder != nil && p.holder.Cell != s.Cell { // stuck in a jammed link?
@@ -513,7 +465,7 @@
 // against slow readers that keep their sessions, whatever slows them; the way on to the writers
 // counts too, for cells with few of them. It could hurt where a few requests look like popularity.
 func (r *Router) admits(p *request, s *server, mean float64) bool {
-	mute := s.probedAt > s.toldAt && r.now-s.probedAt < probeFresh && r.toldAt >= s.probedAt
+	mute := s.probedAt > s.toldAt && r.now-s.probedAt < probeFresh && r.toldAt[s.role] >= s.probedAt
 	if mute || float64(s.out)*r.alike() >= readersCap {
 		return false
 	}
@@ -789,7 +741,8 @@
 	}
 	usual := r.usual(s.Kind)
 	room := max(1, r.set.ColdMultiple*coldEach) * r.set.ColdFrom * usual / min(1, max(coldIdle, usual))
-	return float64(s.lately(r.now, r.set.ColdWindow)+1) <= room+r.turn(s, uint64(r.now/r.set.ColdWindow))
+	round := 1 + uint64((r.now-s.Since)/r.set.ColdWindow) // the same at all fronts, whatever their clocks
+	return float64(s.lately(r.now, r.set.ColdWindow)+1) <= room+r.turn(s, round)
 }
 
 // opens says that p's session is one of the part that may go to cold servers at all, and that s is open to
@@ -879,6 +832,7 @@
 		return
 	}
 	a := &p.sent[o.Attempt]
+	inReach := a.server.heard >= a.at
 	r.account(p, a, o)
 	if o.Final {
 		p.answered = true
@@ -887,20 +841,16 @@
 		r.letGo(p)
 		return
 	}
-	if p.holder == nil || o.Status != ConnectFailed { // what never came up took nothing: the limit runs on
-		p.heldAt = now
-	}
+	r.settleState(p, a, o, inReach)
 	switch o.Status {
 	case Read:
-		p.holder, p.failed = a.server, nil
+		p.failed = nil
 		r.reads.add(now, 1)
 		r.cell(a.server).reads.add(now, 1)
 	default:
-		if o.NoState {
-			p.holder = nil
-			break
+		if !o.NoState {
+			p.failed = append(p.failed, a.server)
 		}
-		p.failed = append(p.failed, a.server)
 	}
 	r.next(p)
 }
@@ -938,6 +888,7 @@
 	case ConnectFailed:
 		r.ill(s, badLeast)
 		if o.Took >= missQuick {
+			r.silentAt = r.now
 			r.miss(s, a.at, 1)
 		} else {
 			r.miss(s, a.at, missRefused)
@@ -952,7 +903,7 @@
 		s.wait.add(o.Took.Seconds(), r.now)
 		r.kinds[s.Kind].wait.add(o.Took.Seconds(), r.now)
 		if s.sign < a.at {
-			s.silent = true
+			s.silent, r.silentAt = true, r.now
 			r.ill(s, badLeast)
 			r.miss(s, a.at, missRefused)
 		}
@@ -991,8 +942,12 @@
 		return
 	}
 	p := r.open[RequestID(token)]
+	if p == nil || p.answered {
+		return
+	}
+	r.checkWrite(p)
+	r.checkHeld(p)
 	switch {
-	case p == nil || p.answered:
 	case now >= p.deadline-answerTicks*r.set.Tick:
 		r.giveUp(p)
 	case p.retryAt > 0 && now >= p.retryAt:
--- a/decide/state.go
+++ b/decide/state.go
@@ -30,21 +30,22 @@
 	kinds          []kind
 	cells          map[int]*cell
 	zones          map[int]*zone
-	begun          tally              // requests by beginning
-	came           [Mixed + 1]rate    // sends, while a server of the role was warm
-	reads          rate               // states held
-	readers        float64            // ready ones
-	room           [Mixed + 1]float64 // the ready servers' memory for answers, by role
-	held           [Mixed + 1]int     // own tokens under way there
-	streams        [Mixed + 1]int     // own attempts that hold them
-	answers        [Mixed + 1]streams // of the ready servers together
-	perToken       float64            // seconds that an unhindered read takes for a token that is not kept
-	near           mean               // time to the first token in the cell of the state
-	moves          mean               // of both
-	far            mean               // and out of it
-	toldAt         time.Duration      // the latest answer to a probe
-	began          time.Duration      // the first server list came
-	worth          float64            // the highest worth of a class
+	begun          tally                    // requests by beginning
+	came           [Mixed + 1]rate          // sends, while a server of the role was warm
+	reads          rate                     // states held
+	readers        float64                  // ready ones
+	room           [Mixed + 1]float64       // the ready servers' memory for answers, by role
+	held           [Mixed + 1]int           // own tokens under way there
+	streams        [Mixed + 1]int           // own attempts that hold them
+	answers        [Mixed + 1]streams       // of the ready servers together
+	perToken       float64                  // seconds that an unhindered read takes for a token that is not kept
+	near           mean                     // time to the first token in the cell of the state
+	moves          mean                     // of both
+	far            mean                     // and out of it
+	toldAt         [Mixed + 1]time.Duration // the latest answer to a probe, by role
+	silentAt       time.Duration            // a server was found silent, 0 = never
+	began          time.Duration            // the first server list came
+	worth          float64                  // the highest worth of a class
 
 	// Lists that one choice is made from; each is good until the next of its name.
 	specials          [Mixed + 1][]*server // see Router.special
@@ -137,7 +138,8 @@
 	wait     mean            // time to the end of a read or to the first token
 	silent   bool            // of attempts that met no sign of it: no measure of a queue, once a probe is answered
 	streams  streams         // its answers, against their hints
-	sign     time.Duration   // last sign of life
+	sign     time.Duration   // last sign of life in answer to an attempt
+	heard    time.Duration   // last answer to anything, probes too
 	passed   time.Duration   // when the latest one was sent of those that went well
 	rest     rest
 }
@@ -170,7 +172,11 @@
 	failed   []*server     // asked in vain
 	named    *server       // the cold writer that its state may go to
 	holder   *server       // the reader where a state waits
-	heldAt   time.Duration // its last outcome, for the pin limit
+	heldAt   time.Duration // since then no attempt that is known to have arrived waits for it, for the pin limit
+	letGoAt  time.Duration // what is held is let go then, whatever has been sent; 0 = not due, or done
+	released bool          // that was done: the state is gone, unless the write had arrived
+	writeAt  time.Duration // the write that is out is looked at then, 0 = no more
+	asked    bool          // its server has been probed since
 	checkAt  time.Duration // is the server asked last silent by then?
 	retryAt  time.Duration // looked at again then, 0 = not waiting for a server
 	looked   bool          // its servers have been probed
@@ -313,7 +319,7 @@
 
 // signs notes a sign of life.
 func (r *Router) signs(s *server) {
-	s.sign = r.now
+	s.sign, s.heard = r.now, r.now
 	z := r.zone(s.Zone)
 	z.sign, z.missed = r.now, 0
 	if r.now >= z.rest.till {
@@ -356,8 +362,11 @@
 	return spent / max(done, 1)
 }
 
-// told says that the load of s is known from a probe.
-func (r *Router) told(s *server) bool { return s.loadAt > 0 && r.now-s.loadAt < probeOld }
+// told says that the load of s is known from a probe, and better than by what this front has there: not so with a handful of
+// fronts, whose probes of writers show that they are in reach.
+func (r *Router) told(s *server) bool {
+	return r.many() && s.loadAt > 0 && r.now-s.loadAt < probeOld
+}
 
 // goes counts a send to a server of the role, while one of it is warm. What is turned away before it is sent weighs on none.
 func (r *Router) goes(role Role) {
@@ -409,7 +418,9 @@
 func (r *Router) Probed(now time.Duration, l Probed) {
 	r.now = now
 	s := r.servers[l.Server]
-	r.toldAt = now
+	if s != nil {
+		s.heard, r.toldAt[s.role] = now, now
+	}
 	if s != nil && s.silent {
 		s.silent, s.wait = false, mean{}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,8 @@
 // Worker is one entry of the worker list: what the module decides on, and where a carrier finds it.
 type Worker struct {
 	decide.Server
+	// Born is when it started as it says itself, in Unix time, 0 = long ago; Since, by the core's clock, is made of it.
+	Born time.Duration
 	Addr string
 	Wire string // how the worker is spoken to, for the carriers; the core does not look at it
 }
@@ -98,11 +100,11 @@
 	prober Prober
 	log    *slog.Logger
 	start  time.Time
-	epoch  time.Duration // clock time at start
 
 	mu      sync.Mutex
 	router  *decide.Router
 	workers map[string]Worker // all that are listed
+	starts  *startTimes       // of those
 	lives   map[decide.RequestID]*life
 	claimed map[string]bool      // the ids that clients gave to their open requests
 	heard   map[string]time.Time // listed workers' latest answers, none where the last attempt met silence
@@ -138,8 +140,7 @@
 
 // New returns a Core. Its list of workers is empty until SetWorkers.
 func New(set decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
-	now := time.Now()
-	c := &Core{prober: prober, log: log, start: now, epoch: time.Duration(now.UnixNano()),
+	c := &Core{prober: prober, log: log, start: time.Now(), starts: newStartTimes(),
 		workers: make(map[string]Worker), heard: make(map[string]time.Time),
 		lives: make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
 	r, err := decide.New(set, seed, (*actions)(c))
@@ -184,9 +185,11 @@
 // Busy is when a client that a front has no room for may come back, 0 where none may be told.
 func (c *Core) Busy() time.Duration { return min(busyAgain, c.Settings().MaxRetryAfter) }
 
-// clock is the time that the module is told: Unix time at the start and steady from there on, so
-// that workers' start times compare and a stepped system clock does no harm.
-func (c *Core) clock() time.Duration { return c.epoch + time.Since(c.start) }
+// clockOrigin is what the core's clock reads at the start of the process. Workers that started before have times above zero.
+const clockOrigin = 100 * 365 * 24 * time.Hour
+
+// clock is the time that the module is told. It is monotonic: a step of the wall clock moves no deadline, window or wait.
+func (c *Core) clock() time.Duration { return clockOrigin + time.Since(c.start) }
 
 // tell gives the module one event. A panic there must not take the router down: the request that
 // caused it is failed by its own deadline at the latest.
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -47,11 +47,11 @@
 	streaming  bool // the answer's stream has not ended
 	stream     int  // the attempt that streams
 	left       bool // its client went while it streamed
-	sends      atomic.Int32
 	held       bool // a state may be held for it at a worker
 	unknown    bool // a read ended without telling whether it left a state
 	waiting    bool // a read state waits and the module knows it
 	reader     Worker
+	reads      atomic.Int32 // that left a state
 }
 
 type attempt struct {
@@ -121,7 +121,8 @@
 				l.callOff(ch.n, errCancelled)
 			case settle:
 				l.finish()
-			case release: // done below, once none of its attempts is out
+			case release:
+				l.releaseBeforeArrival()
 			}
 		case e := <-l.events:
 			if e.Status == 0 {
@@ -232,7 +233,6 @@
 	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(wait), Read: l.isRead(w), Settle: l.settle(),
 		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: now, out: true}
 	l.attempts = append(l.attempts, a)
-	l.sends.Add(1)
 	l.out++
 	if l.answered || wait <= 0 || w.ID == "" || !a.Allowed() {
 		a.cancel = func(error) {}
@@ -241,7 +241,7 @@
 	}
 	up := time.Duration(0) // what the module was told of how long w runs, 0 = long
 	if w.Since > 0 {
-		up = max(time.Millisecond, time.Duration(a.began.UnixNano())-w.Since)
+		up = max(time.Millisecond, c.clock()-w.Since)
 	}
 	c.log.Debug("send", "id", l.ID, "n", n, "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", up.Milliseconds())
 	ctx, stop := context.WithCancelCause(context.Background())
@@ -350,6 +350,7 @@
 	switch {
 	case e.Status == decide.Read:
 		l.held, l.waiting, l.reader = true, true, a.To
+		l.reads.Add(1)
 		if said, ok := l.Kept[a.To.ID]; ok && l.core.Texts != nil {
 			l.core.Texts.Found(a.To.ID, said, e.Kept)
 		}
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -21,19 +21,34 @@
 	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 )
 
-// letGo releases what may be held for the request while none of its attempts is out: always once
-// it is answered, and before that where a read of unknown fate may have left a state that the
-// module does not know of and nothing has been sent since. Guards the pin limit.
+// letGo releases what may be held for the request once none of its attempts is out: always when it is answered. A read of
+// unknown fate may have left a state that the module does not know of: that is let go before the answer too, and whatever is
+// out, as what was sent after it need not have arrived. Guards the pin limit.
 func (l *life) letGo() {
-	if !l.held || l.out > 0 || len(l.choices) > 0 || !l.answered && (!l.unknown || l.waiting) {
+	ended := l.answered && l.out == 0 && len(l.choices) == 0
+	leftBehind := l.unknown && !l.waiting
+	if !l.held || !ended && !leftBehind {
 		return
 	}
-	sends := l.sends.Load()
-	l.core.running.Begin()
-	go l.core.release(l, l.reader, l.unknown, func() bool { return l.sends.Load() == sends })
+	l.startRelease(l.unknown)
 	l.held, l.unknown, l.waiting = false, false, false
 }
 
+// releaseBeforeArrival lets go of a state whose write is out and has not shown that it arrived. What is still held when its
+// attempts have ended is let go then.
+func (l *life) releaseBeforeArrival() {
+	if l.held && l.out > 0 && !l.answered {
+		l.startRelease(false)
+	}
+}
+
+// startRelease releases what is held, unless another read has left a state by then.
+func (l *life) startRelease(unknown bool) {
+	reads := l.reads.Load()
+	l.core.running.Begin()
+	go l.core.release(l, l.reader, unknown, func() bool { return l.reads.Load() == reads })
+}
+
 // hears notes whether a worker has answered.
 func (c *Core) hears(id string, answered bool) {
 	c.mu.Lock()
@@ -48,7 +63,7 @@
 // release lets go of all that is held for a request, at any worker that answers. A worker may be
 // dead, silent or cut off, so the next is asked soon, and while the first may still answer. Where the fate
 // of a read is unknown it is done once more a little later: the state may appear just after the first call.
-// still says that the request has not been sent again meanwhile, which would give it a state that is wanted.
+// still says that no further read has left a state meanwhile, which is wanted.
 func (c *Core) release(l *life, first Worker, unknown bool, still func() bool) {
 	defer c.running.End()
 	ok := c.releaseOnce(l, first, still)
--- a/internal/core/workerlist.go
+++ b/internal/core/workerlist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rowanyard/decide"
+	"rowanyard/internal/wallclock"
 )
 
 // SetWorkers takes a change to the worker list, or all of it.
@@ -15,6 +16,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := decide.ServerList{Whole: whole}
+	now, wall := c.clock(), wallclock.Now()
 	if whole {
 		for id, w := range c.workers {
 			w.State = decide.Gone
@@ -27,6 +29,7 @@
 			w = old
 			w.State = decide.Gone
 		}
+		w.Since = c.starts.at(now, wall, w.ID, w.Born)
 		c.workers[w.ID] = w
 		list.Servers = append(list.Servers, c.shown(w))
 	}
@@ -34,11 +37,19 @@
 		if w.State == decide.Gone {
 			delete(c.workers, id)
 			delete(c.heard, id)
+			c.starts.forget(id)
 		}
 	}
 	c.tellLocked(func(now time.Duration, r *decide.Router) { r.Servers(now, list) })
 }
 
+// ListConfirmed notes that discovery has said that nothing has changed, or what has.
+func (c *Core) ListConfirmed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts.confirm(c.clock())
+}
+
 // open is the workers that take new work, where somebody is told of changes.
 func (c *Core) open() map[string]bool {
 	if c.Moved == nil {
--- a/internal/decisions/server.go
+++ b/internal/decisions/server.go
@@ -133,6 +133,7 @@
 	if len(r.Body) > 0 {
 		q.Kept = s.Desk.core.Kept(func() []byte { return httpfront.Prompt(r.Body) })
 	}
+	q.Leased = true // a caller's renewals are what it is held for, see grant.Terms
 	path := r.Path
 	if path == "" {
 		path = httpfront.PathChat
--- a/internal/enginehost/host.go
+++ b/internal/enginehost/host.go
@@ -21,6 +21,7 @@
 
 	"rowanyard/internal/engine"
 	"rowanyard/internal/kvevents"
+	"rowanyard/internal/wallclock"
 )
 
 const (
@@ -101,7 +102,7 @@
 		if o.MemoryK > 0 && set.Reads {
 			set.Blocks = max(1, int(o.MemoryK*1000)/set.Block)
 		}
-		b := &Box{ID: fmt.Sprintf("%s-%d", name, i), Kind: name, site: s, calls: make(map[string]*call), told: make(chan struct{}, 1), incarnation: uint64(time.Now().UnixMilli())}
+		b := &Box{ID: fmt.Sprintf("%s-%d", name, i), Kind: name, site: s, calls: make(map[string]*call), told: make(chan struct{}, 1), incarnation: wallclock.Milliseconds()}
 		b.engine = engine.New(set, b.incarnation)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -171,7 +172,7 @@
 	s := b.site
 	s.mu.Lock()
 	b.down = false
-	b.incarnation = max(b.incarnation+1, uint64(time.Now().UnixMilli()))
+	b.incarnation = max(b.incarnation+1, wallclock.Milliseconds())
 	b.born = int64(b.incarnation)
 	b.batches, b.base = nil, 0
 	b.engine.Start(s.now(), b.incarnation)
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -49,7 +49,7 @@
 	done  atomic.Bool
 	asked atomic.Bool                 // a request has been written since the last answer's end
 	may   atomic.Pointer[func() bool] // asked before that is, nil: it may
-	ended atomic.Int64                // when that was, Unix time in nanoseconds
+	ended atomic.Int64                // when that was, from epoch
 	over  chan struct{}               // closed with the connection
 	bad   atomic.Bool                 // serves no further use
 	hand  atomic.Bool                 // its answer is to go on in another process
@@ -105,7 +105,7 @@
 // settle waits until a second answer to the request before would have come, so that Write finds it. Guards against
 // taking it for the next request's: it could say that what runs was turned away, or stream another's answer.
 func (c *workerConn) settle(ctx context.Context, after func(time.Duration) <-chan time.Time) {
-	left := settleTime - time.Duration(time.Now().UnixNano()-c.ended.Load())
+	left := settleTime - (time.Since(epoch) - time.Duration(c.ended.Load()))
 	if left <= 0 {
 		return
 	}
@@ -298,7 +298,7 @@
 func (c *workerConn) end(beyond int) error {
 	c.state = inHead
 	c.serve(nil)
-	c.ended.Store(time.Now().UnixNano())
+	c.ended.Store(int64(time.Since(epoch)))
 	if beyond > 0 {
 		c.buf = c.buf[:c.ready]
 		c.bad.Store(true)
--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -85,8 +85,8 @@
 	if n.Wire != nil {
 		spoken = n.Wire(e)
 	}
-	return core.Worker{Addr: e.Dial, Wire: spoken, Server: decide.Server{ID: e.Host, State: state, Kind: kind, Cell: e.Block,
-		Zone: zone, Weight: e.Share, Since: time.Duration(e.BornMs * float64(time.Millisecond))}}, nil
+	return core.Worker{Addr: e.Dial, Wire: spoken, Born: time.Duration(e.BornMs * float64(time.Millisecond)),
+		Server: decide.Server{ID: e.Host, State: state, Kind: kind, Cell: e.Block, Zone: zone, Weight: e.Share}}, nil
 }
 
 // Workers turns a list into the core's form. Entries that make no sense are logged and left out.
@@ -264,6 +264,7 @@
 		return notNow{res.StatusCode, time.Duration(after * float64(time.Second))}
 	}
 	values := newLists(res.Body, cmp.Or(d.Line, watchLine), silent, word)
+	values.unchanged = d.Core.ListConfirmed
 	for {
 		text, err := values.next()
 		if errors.Is(err, io.EOF) {
@@ -300,6 +301,8 @@
 	begun  bool
 	silent *time.Timer
 	word   *time.Time // when the last one ended, or an empty line came
+
+	unchanged func() // told of each empty line, nil: nobody is
 }
 
 func newLists(from io.Reader, most int, silent *time.Timer, word *time.Time) *lists {
@@ -338,6 +341,9 @@
 		l.read = 0
 		*l.word = time.Now()
 		l.sign()
+		if l.unchanged != nil {
+			l.unchanged()
+		}
 	}
 	return n, err
 }
@@ -371,6 +377,7 @@
 		}
 	}
 	d.Core.SetWorkers(l.Whole, workers)
+	d.Core.ListConfirmed()
 	select {
 	case <-d.told:
 	default:
