A head too long that was read before its client's answer is over gets 431, not a refusal

The client may have its answer whole before net/http has told so; a head that comes in between is read ahead, is over what is kept, and was refused with Retry-After: its client comes again with the same head.

Change: such a head is handed to net/http with filler in place of what was not kept, and gets net/http's answer.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -5,6 +5,7 @@
 // request that passes.
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -47,6 +48,7 @@
 	plain   bool         // all that comes is handed over: the connection ends with this request
 	refused bool         // nothing more is: a head could not be trusted
 	tooMuch bool         // nothing more is taken from the socket: more came behind the request than is kept
+	filler  int          // so many bytes more are handed over in place of the rest of a head that was too long to be kept
 	heads   atomic.Int32 // that were whole
 }
 
@@ -135,6 +137,11 @@
 			return n, nil
 		case c.refused:
 			return 0, io.EOF
+		case c.filler > 0:
+			n := copy(p, fillerHead[:min(len(fillerHead), c.filler)])
+			c.filler -= n
+			c.refused = c.filler == 0
+			return n, nil
 		case len(c.buf) > 0 && c.plain:
 			c.ready = len(c.buf)
 			continue
@@ -176,6 +183,11 @@
 			}
 			continue
 		}
+		if c.tooMuch && c.headIsTooLong() {
+			c.begins()
+			c.ready, c.filler = len(c.buf), 2*maxHead // net/http has had enough before
+			continue
+		}
 		if c.tooMuch {
 			return 0, c.endHere()
 		}
@@ -190,6 +202,15 @@
 	}
 }
 
+// fillerHead stands for the rest of a head that was not kept.
+var fillerHead = bytes.Repeat([]byte("x"), headStep)
+
+// headIsTooLong says that what was kept is all one head, without its end. Guards against a refusal, which has its client come
+// again, where net/http's own answer to such a head is due.
+func (c *clientConn) headIsTooLong() bool {
+	return len(c.buf) >= maxHead && bytes.IndexByte(c.buf, '\n') >= 0 && headEnd(c.buf) == 0
+}
+
 // readyHead readies the head at the start of buf, which is whole, to be handed over.
 func (c *clientConn) readyHead(end int) error {
 	f, ok := requestFraming(c.buf[:end])
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -243,6 +243,29 @@
 	}
 }
 
+// A head that is too long may have come before its client's answer before it was over, and not been kept: net/http has to be
+// given enough of it to answer it all the same.
+func TestAHeadTooLongBehindARequestIsHandedOver(t *testing.T) {
+	one := message("one", length(bodyText), bodyText)
+	long := message("two", "X-Long: "+strings.Repeat("x", 2*maxHead)+"\r\n"+length(bodyText), bodyText)
+	var written strings.Builder
+	held := newClients(nil, 1, 250*time.Millisecond, quiet)
+	c := &clientConn{Conn: recordedConn{bytesConn{in: strings.NewReader(one + long), piece: 1 << 20}, &written}, from: held}
+	held.conns[c] = true
+	if _, err := io.ReadFull(c, make([]byte, len(one))); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Read(make([]byte, 1)) // net/http looks whether the client leaves
+	connState(c, http.StateIdle)
+	text := make([]byte, maxHead+8<<10) // net/http allows 4 KB more than the limit
+	if _, err := io.ReadFull(c, text); err != nil || !strings.HasPrefix(string(text), long[:40]) {
+		t.Errorf("%.40q, %v", text, err)
+	}
+	if c.Close(); written.Len() > 0 {
+		t.Errorf("answered here: %q", written.String())
+	}
+}
+
 // Behind a request that was served comes one that net/http answers itself: there is one answer to each.
 func TestAnErrorBehindAnAnswerIsTheOnlyOne(t *testing.T) {
 	one := message("one", length(bodyText), bodyText)
