Guards of sending, repeating, closing and starting, counted; log lines tell the client's id and reasons

Cause: the operators' logs could not be joined to their records: no client's id, no word on states held and let go, no reasons. And each invariant was kept by whoever took the step, with nothing that counts.

The module tells its reason for each send, call-off and final answer. Lines: txn, why, held_ms; release with its reason; stopped, invariant violated; ended with both counts; rowanyard_guard_total. A process that is told to end before it serves does not open its port.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -13,6 +13,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/invariant"
 )
 
 const (
@@ -82,6 +84,10 @@
 	}
 	p.takeOver()
 	await(ctx, p.discovery.Told(), p.shared.Alone(), p.log)
+	if ctx.Err() != nil { // nobody has been told of this process yet, and nobody need be
+		p.core.Guard.Stopped(invariant.Starting, "told to end before it served")
+		return nil
+	}
 	if err := p.serve(); err != nil {
 		return err
 	}
--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -115,6 +115,9 @@
 	if err := p.grantAttempts(); err != nil {
 		return err
 	}
+	if p.metrics != nil {
+		p.metrics.FollowGuard(&p.core.Guard)
+	}
 	if err := p.hearReports(); err != nil {
 		return err
 	}
--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -124,7 +124,8 @@
 	p.front.Shutdown(end, heir)
 	<-drained
 	p.core.Wait(end)
-	p.log.Info("ended")
+	stopped, violated := p.core.Guard.Totals()
+	p.log.Info("ended", "stopped", stopped, "violated", violated)
 }
 
 // untilKilled is how long after the signal to end the process is killed at the soonest.
--- a/decide/api.go
+++ b/decide/api.go
@@ -118,6 +118,7 @@
 // Request is a client request that this front has to answer once.
 type Request struct {
 	ID        RequestID
+	Label     string // what its client calls it, for logs: nothing rests on it
 	Class     int
 	Tenant    int
 	TimeLeft  time.Duration // until this try's client gives up
@@ -208,6 +209,30 @@
 	Servers []Server
 }
 
+// Reason is why a Router chose what it did, for logs.
+type Reason string
+
+// The reasons.
+const (
+	FirstAttempt  Reason = "first attempt"
+	NextStage     Reason = "the prompt has been read"
+	AfterFailure  Reason = "the attempt before has failed"
+	StateGone     Reason = "the state is gone"
+	SilentServer  Reason = "no sign of the server"
+	DeadlineNear  Reason = "the deadline is near"
+	NoServer      Reason = "no server may be sent to"
+	TooMuchLoad   Reason = "waits are too long"
+	AttemptsSpent Reason = "no attempts are left"
+	StateExpired  Reason = "the state was held for too long"
+	MayHaveRun    Reason = "it may have run"
+	Ending        Reason = "this front ends"
+)
+
+// Explainer is a Front that is told the reason of a Send, Cancel, Refuse or Fail right before it.
+type Explainer interface {
+	Explain(id RequestID, why Reason)
+}
+
 // Front is what a Router acts through. Calls are made while the Router
 // handles an event and take effect in order. An attempt's number is the
 // count of Sends of that request before it.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -238,9 +238,8 @@
 
 // next sends p where its state says, or ends it.
 func (r *Router) next(p *request) {
-	late := p.holder != nil && r.set.PinLimit > 0 && r.now >= p.heldAt+r.set.PinLimit
-	if p.answered || late || !r.attemptsLeft(p, 1) || p.ran != nil && p.class.Effect == Unsafe {
-		r.giveUp(p)
+	if why := r.spent(p); why != "" || p.answered {
+		r.giveUp(p, why)
 		return
 	}
 	if p.holder != nil {
@@ -253,14 +252,14 @@
 	}
 	if s := r.pickReader(p); s != nil {
 		if s.role == Reader && !r.attemptsLeft(p, 2) { // a read that no write could follow
-			r.giveUp(p)
+			r.giveUp(p, AttemptsSpent)
 			return
 		}
 		if r.look(p, s) {
 			return
 		}
 		if r.overloaded(p, s) {
-			r.giveUp(p)
+			r.giveUp(p, TooMuchLoad)
 			return
 		}
 		r.send(p, s, s.role == Reader)
@@ -269,6 +268,40 @@
 	r.hold(p, p.arrived+r.aim(p))
 }
 
+// spent says why nothing more may be tried for p, "" = something may.
+func (r *Router) spent(p *request) Reason {
+	switch {
+	case !r.attemptsLeft(p, 1):
+		return AttemptsSpent
+	case p.holder != nil && r.set.PinLimit > 0 && r.now >= p.heldAt+r.set.PinLimit:
+		return StateExpired
+	case p.ran != nil && p.class.Effect == Unsafe:
+		return MayHaveRun
+	}
+	return ""
+}
+
+// explain tells a front that wants to know why the choice that follows is made.
+func (r *Router) explain(p *request, why Reason) {
+	if e, ok := r.out.(Explainer); ok {
+		e.Explain(p.ID, why)
+	}
+}
+
+// sendReason is why p is sent now.
+func (p *request) sendReason() Reason {
+	last := len(p.sent) - 1
+	switch {
+	case last < 0:
+		return FirstAttempt
+	case p.holder == nil:
+		return StateGone
+	case p.sent[last].read:
+		return NextStage
+	}
+	return AfterFailure
+}
+
 // attemptsLeft says whether p may be sent so many times more.
 func (r *Router) attemptsLeft(p *request, attempts int) bool {
 	return r.set.MaxAttempts == 0 || len(p.sent)+attempts <= r.set.MaxAttempts
@@ -277,7 +310,7 @@
 // hold looks at p again a little later, if that is before the limit.
 func (r *Router) hold(p *request, limit time.Duration) {
 	if r.now+holdStep >= min(limit, p.deadline-answerTicks*r.set.Tick) {
-		r.giveUp(p)
+		r.giveUp(p, NoServer)
 		return
 	}
 	p.failed, p.retryAt = nil, r.now+holdStep
@@ -286,6 +319,7 @@
 
 func (r *Router) send(p *request, s *server, read bool) {
 	p.retryAt = 0
+	r.explain(p, p.sendReason())
 	r.goes(s.role)
 	if !r.warm(s) {
 		s.lately(r.now, r.set.ColdWindow)
@@ -324,9 +358,10 @@
 }
 
 // giveUp answers p if that is still owed, and lets go of its state.
-func (r *Router) giveUp(p *request) {
+func (r *Router) giveUp(p *request, why Reason) {
 	if !p.answered {
 		p.answered = true
+		r.explain(p, why)
 		if r.mayRefuse(p) {
 			most := r.set.MaxRetryAfter / 2 // the aim runs on: longer stays cost more than they gain
 			r.out.Refuse(p.ID, min(cmp.Or(p.back, most), most))
@@ -716,6 +751,7 @@
 		return
 	}
 	p.checkAt = 0
+	r.explain(p, SilentServer)
 	r.out.Cancel(p.ID, n)
 }
 
@@ -929,7 +965,7 @@
 	r.now = now
 	for _, id := range slices.Sorted(maps.Keys(r.open)) {
 		if p := r.open[id]; !p.answered {
-			r.giveUp(p)
+			r.giveUp(p, Ending)
 		}
 	}
 }
@@ -949,7 +985,7 @@
 	r.checkHeld(p)
 	switch {
 	case now >= p.deadline-answerTicks*r.set.Tick:
-		r.giveUp(p)
+		r.giveUp(p, DeadlineNear)
 	case p.retryAt > 0 && now >= p.retryAt:
 		r.next(p)
 	case p.checkAt > 0 && now >= p.checkAt:
--- a/decide/heldstate.go
+++ b/decide/heldstate.go
@@ -58,6 +58,7 @@
 		r.miss(a.server, a.at, missRefused)
 		return
 	}
+	r.explain(p, SilentServer)
 	r.out.Cancel(p.ID, len(p.sent)-1)
 }
 
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// Explain implements decide.Explainer.
+func (x *actions) Explain(id decide.RequestID, why decide.Reason) {
+	if l := x.lives[id]; l != nil {
+		l.why = string(why)
+	}
+}
+
+// reason is the module's latest for what it chose.
+func (l *life) reason() string {
+	l.core.mu.Lock()
+	defer l.core.mu.Unlock()
+	return l.why
+}
+
 // Send implements decide.Front.
 func (x *actions) Send(id decide.RequestID, server string, timeout time.Duration) {
 	x.choose(id, choice{do: send, worker: server, timeout: timeout})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 
 	"rowanyard/decide"
 	"rowanyard/internal/inflight"
+	"rowanyard/internal/invariant"
 )
 
 // Worker is one entry of the worker list: what the module decides on, and where a carrier finds it.
@@ -111,6 +112,10 @@
 	banned  map[string]bool      // workers that operators have taken out, listed or not
 	lastID  decide.RequestID
 	running inflight.Count // lives, and releases that go on after theirs
+	ended   bool           // End was called: nothing new is begun
+
+	// Guard counts what must not be, and what was stopped in time.
+	Guard invariant.Guard
 
 	// Moved is told which workers have begun or ceased to take new work, after each change. Two changes at once may
 	// be told in either order: Wanted says what holds. Set before use.
@@ -143,6 +148,7 @@
 	c := &Core{prober: prober, log: log, start: time.Now(), starts: newStartTimes(),
 		workers: make(map[string]Worker), heard: make(map[string]time.Time),
 		lives: make(map[decide.RequestID]*life), claimed: make(map[string]bool)}
+	c.Guard.Log = log
 	r, err := decide.New(set, seed, (*actions)(c))
 	if err != nil {
 		return nil, err
@@ -215,6 +221,11 @@
 	l := &life{core: c, client: ctx, via: via, arrived: time.Now(), choices: make(chan choice, maxChoices),
 		events: make(chan event, maxChoices), streamEnd: make(chan decide.Status, 1), answer: make(chan Answer, 1)}
 	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		c.Guard.Stopped(invariant.Starting, "the process ends", "txn", q.Label)
+		return Answer{Verdict: Refused, RetryAfter: c.Busy()}
+	}
 	c.lastID++
 	q.ID = c.lastID
 	l.Request = q
@@ -226,8 +237,13 @@
 }
 
 // End has every open request answered at once: the process ends, and what it still held then would be
-// let go by nobody.
-func (c *Core) End() { c.tell(func(now time.Duration, r *decide.Router) { r.End(now) }) }
+// let go by nobody. What comes after that is refused: nothing of it is begun.
+func (c *Core) End() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	c.tellLocked(func(now time.Duration, r *decide.Router) { r.End(now) })
+}
 
 // Learned tells what the module has learned so far.
 func (c *Core) Learned() (l decide.Learned) {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -22,6 +22,7 @@
 	overdue    = 15 * time.Millisecond  // what the module has left unanswered for so long is failed
 	settleMost = 250 * time.Millisecond // for an attempt's end to be seen, where no connect timeout is set
 	maxChoices = 64                     // of a request not yet carried out
+	never      = 1 << 62 * time.Nanosecond
 )
 
 // life is one request from its arrival until nothing is left to do for it.
@@ -52,6 +53,10 @@
 	waiting    bool // a read state waits and the module knows it
 	reader     Worker
 	reads      atomic.Int32 // that left a state
+	heldSince  time.Time    // the state that waits has been held since then
+	letGoOnce  bool         // and was let go at the limit
+	closed     atomic.Bool  // the final answer is fixed
+	why        string       // the module's latest reason; the core's lock guards it
 }
 
 type attempt struct {
@@ -59,6 +64,9 @@
 	began  time.Time
 	cancel context.CancelCauseFunc
 	out    bool
+
+	checked    atomic.Bool // the guard of sending was asked
+	mayHaveRun bool        // it ended so that it may have had its effect
 }
 
 type event struct {
@@ -102,6 +110,8 @@
 	})
 	late := time.NewTimer(l.TimeLeft + overdue)
 	defer late.Stop()
+	held := time.NewTimer(never)
+	defer held.Stop()
 	gone := l.client.Done()
 
 	for !l.over() {
@@ -133,15 +143,20 @@
 		case status := <-l.streamEnd:
 			l.streamEnded(status)
 		case <-gone: // seen to above
+		case <-held.C: // seen to below
 		case <-late.C:
 			// Guards against a module that leaves a request unanswered: one final answer is owed,
 			// and failing promises nothing.
 			if l.settleAs(Failed) {
-				c.log.Error("overdue", "id", l.ID, "class", l.Class)
+				c.log.Error("overdue", "id", l.ID, "txn", l.Label, "class", l.Class)
 				c.tell(func(now time.Duration, r *decide.Router) { r.Left(now, l.ID) })
 			}
 		}
 		l.letGo()
+		l.checkHeld()
+		if l.waiting && !l.letGoOnce && l.settings.PinLimit > 0 {
+			held.Reset(max(0, l.settings.PinLimit+pinSlack/2-l.heldFor()))
+		}
 	}
 }
 
@@ -199,6 +214,7 @@
 	a := Answer{Verdict: l.verdict, RetryAfter: l.retryAfter}
 	l.core.mu.Unlock()
 	l.answered = true
+	l.closed.Store(true)
 	l.answer <- a
 	l.log(a.Verdict, "")
 	l.callOffAll()
@@ -216,8 +232,8 @@
 	if v == Streaming {
 		level = slog.LevelDebug
 	}
-	l.core.log.Log(context.Background(), level, "answer", "verdict", names[v], "id", l.ID, "class", l.Class,
-		"after_ms", time.Since(l.arrived).Milliseconds(), "left_ms", l.TimeLeft.Milliseconds(),
+	l.core.log.Log(context.Background(), level, "answer", "verdict", names[v], "id", l.ID, "txn", l.Label, "class", l.Class,
+		"why", l.reason(), "after_ms", time.Since(l.arrived).Milliseconds(), "left_ms", l.TimeLeft.Milliseconds(),
 		"attempts", len(l.attempts), "prompt", l.Prompt, "worker", worker)
 }
 
@@ -230,11 +246,12 @@
 		wait = min(wait, ch.timeout)
 	}
 	n, now := len(l.attempts), time.Now()
-	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(wait), Read: l.isRead(w), Settle: l.settle(),
-		Allowed: func() bool { return l.client.Err() == nil && c.Wanted(w.ID) }}, began: now, out: true}
+	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(wait), Read: l.isRead(w), Settle: l.settle()}, began: now, out: true}
+	a.Allowed = func() bool { return l.allowed(a) }
+	may := l.mayRepeat(a.Read)
 	l.attempts = append(l.attempts, a)
 	l.out++
-	if l.answered || wait <= 0 || w.ID == "" || !a.Allowed() {
+	if w.ID == "" || !may || !a.Allowed() {
 		a.cancel = func(error) {}
 		l.events <- event{n, Result{Status: decide.Moot}}
 		return
@@ -243,7 +260,7 @@
 	if w.Since > 0 {
 		up = max(time.Millisecond, c.clock()-w.Since)
 	}
-	c.log.Debug("send", "id", l.ID, "n", n, "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", up.Milliseconds())
+	c.log.Debug("send", "id", l.ID, "txn", l.Label, "n", n, "why", l.reason(), "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", up.Milliseconds())
 	ctx, stop := context.WithCancelCause(context.Background())
 	timer := time.AfterFunc(wait, func() { stop(errTimedOut) })
 	a.cancel = stop
@@ -271,7 +288,7 @@
 // written has reached it after the connect timeout, or never does. What is held meanwhile must still be let go in time.
 func (l *life) settle() time.Duration {
 	set := l.settings
-	if l.Class < 0 || l.Class >= len(set.Classes) || set.Classes[l.Class].Effect != decide.Unsafe {
+	if !l.isUnsafe() {
 		return 0
 	}
 	limit := cmp.Or(set.ConnectTimeout, settleMost)
@@ -298,6 +315,8 @@
 // deadline and nothing more is sent for it.
 func (l *life) firstToken(e event) {
 	a, c := l.attempts[e.n], l.core
+	l.checkSent(a, e.Status)
+	a.mayHaveRun = true
 	c.hears(a.To.ID, true)
 	c.mu.Lock()
 	won := l.verdict == Open
@@ -314,6 +333,7 @@
 		return
 	}
 	l.answered, l.streaming, l.stream = true, true, e.n
+	l.closed.Store(true)
 	l.held, l.unknown, l.waiting = false, false, false // goes by itself with the first token
 	l.out--
 	a.out = false
@@ -333,7 +353,7 @@
 		status = decide.Cancelled // the break is the client's doing, not the worker's
 	}
 	if status != decide.Served {
-		l.core.log.Info("stream broke off", "id", l.ID, "worker", l.attempts[l.stream].To.ID, "status", statusName(status))
+		l.core.log.Info("stream broke off", "id", l.ID, "txn", l.Label, "worker", l.attempts[l.stream].To.ID, "status", statusName(status))
 	}
 	l.outcome(l.stream, Result{Status: status})
 }
@@ -341,7 +361,8 @@
 // ended takes the end of an attempt that did not stream to the client.
 func (l *life) ended(e event) {
 	a := l.attempts[e.n]
-	a.out = false
+	l.checkSent(a, e.Status)
+	a.out, a.mayHaveRun = false, !a.Read && mayHaveRun(e.Status)
 	l.out--
 	a.cancel(errCancelled) // frees its context
 	if e.Status != decide.Moot {
@@ -350,12 +371,15 @@
 	switch {
 	case e.Status == decide.Read:
 		l.held, l.waiting, l.reader = true, true, a.To
+		l.heldSince, l.letGoOnce = time.Now(), false
 		l.reads.Add(1)
 		if said, ok := l.Kept[a.To.ID]; ok && l.core.Texts != nil {
 			l.core.Texts.Found(a.To.ID, said, e.Kept)
 		}
 	case e.NoState:
 		l.waiting = false
+	case !a.Read && (e.Status == decide.Errored || e.Status == decide.Full): // it had arrived: the time begins anew
+		l.heldSince, l.letGoOnce = time.Now(), false
 	case a.Read && (e.Status == decide.TimedOut || e.Status == decide.Cancelled || e.Status == decide.Reset ||
 		e.Status == decide.Errored):
 		// It may have ended well just as its connection closed: a state may wait there all the same.
@@ -365,9 +389,9 @@
 	if e.Status == decide.Read {
 		level = slog.LevelDebug
 	}
-	l.core.log.Log(context.Background(), level, "attempt", "id", l.ID, "n", e.n, "worker", a.To.ID, "status", statusName(e.Status),
+	l.core.log.Log(context.Background(), level, "attempt", "id", l.ID, "txn", l.Label, "n", e.n, "worker", a.To.ID, "status", statusName(e.Status),
 		"took_ms", time.Since(a.began).Milliseconds(), "read", a.Read, "no_state", e.NoState, "kept", e.Kept,
-		"prompt", l.Prompt, "err", e.Err)
+		"prompt", l.Prompt, "held_ms", l.heldFor().Milliseconds(), "err", e.Err)
 	l.outcome(e.n, e.Result)
 }
 
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -30,7 +30,11 @@
 	if !l.held || !ended && !leftBehind {
 		return
 	}
-	l.startRelease(l.unknown)
+	why := "answered"
+	if leftBehind {
+		why = "read of unknown fate"
+	}
+	l.startRelease(why, l.unknown)
 	l.held, l.unknown, l.waiting = false, false, false
 }
 
@@ -38,13 +42,15 @@
 // attempts have ended is let go then.
 func (l *life) releaseBeforeArrival() {
 	if l.held && l.out > 0 && !l.answered {
-		l.startRelease(false)
+		l.letGoOnce = true
+		l.startRelease("limit, no sign of the write", false)
 	}
 }
 
 // startRelease releases what is held, unless another read has left a state by then.
-func (l *life) startRelease(unknown bool) {
+func (l *life) startRelease(why string, unknown bool) {
 	reads := l.reads.Load()
+	l.core.log.Info("release", "id", l.ID, "txn", l.Label, "why", why, "reader", l.reader.ID, "held_ms", l.heldFor().Milliseconds())
 	l.core.running.Begin()
 	go l.core.release(l, l.reader, unknown, func() bool { return l.reads.Load() == reads })
 }
@@ -74,7 +80,7 @@
 		}
 	}
 	if !ok && still() {
-		c.log.Error("nothing took the release", "id", l.ID)
+		c.log.Error("nothing took the release", "id", l.ID, "txn", l.Label)
 	}
 }
 
@@ -89,7 +95,7 @@
 	return c.releaseAt(first, still, releaseWait, func(ctx context.Context, w Worker) error {
 		err := l.via.Release(ctx, w)
 		if err != nil {
-			c.log.Warn("release failed", "id", l.ID, "worker", w.ID, "err", err)
+			c.log.Warn("release failed", "id", l.ID, "txn", l.Label, "worker", w.ID, "err", err)
 		}
 		return err
 	})
--- a/internal/decisions/server.go
+++ b/internal/decisions/server.go
@@ -203,7 +203,7 @@
 	if left < 0 || left > maxWait || hint < 0 || hint > time.Hour {
 		return 0, q, errors.New("first_token_within or estimate: out of range")
 	}
-	return class, decide.Request{Class: class, TimeLeft: left, Session: r.Session, Prefix: r.Prefix, Prompt: int(r.PromptTokens),
+	return class, decide.Request{Label: r.Request, Class: class, TimeLeft: left, Session: r.Session, Prefix: r.Prefix, Prompt: int(r.PromptTokens),
 		PrefixLen: int(r.PrefixTokens), MaxOutput: int(r.MaxOutputTokens), Hint: hint, Repeat: r.Resent}, nil
 }
 
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -331,6 +331,7 @@
 	}
 	q.Kept = c.Core.Kept(func() []byte { return httpfront.Prompt(c.body) })
 	id := c.head.Get("X-Txn")
+	q.Label = id
 	g, to, err := c.Desk.Choose(ctx, decisions.Ask{Called: called, Query: q, ReadHere: true, Attached: true, OneWrite: true,
 		Ask:      grant.Ask{Caller: c.caller, Request: id, Class: q.Class, Once: c.Settings().Classes[q.Class].Effect == decide.Unsafe},
 		Fresh:    true,
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -186,7 +186,7 @@
 	if left < 0 || left > maxWait || hint < 0 || hint > time.Hour {
 		return q, fmt.Errorf("first_token_within or estimate: out of range")
 	}
-	return decide.Request{Class: class, TimeLeft: left, Session: r.Session, Prefix: r.Prefix, Prompt: int(r.PromptTokens),
+	return decide.Request{Label: r.Id, Class: class, TimeLeft: left, Session: r.Session, Prefix: r.Prefix, Prompt: int(r.PromptTokens),
 		PrefixLen: int(r.PrefixTokens), MaxOutput: int(r.MaxOutputTokens), Hint: hint,
 		Repeat: r.Resent != pb.Resent_RESENT_UNSPECIFIED, Resumed: r.Resent == pb.Resent_RESENT_RESUME}, nil
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -142,6 +142,7 @@
 	memory, ok := f.reserveBody(r.ContentLength)
 	defer memory.free()
 	if !ok {
+		f.log.Info("refused", "why", "too many bodies are held", "txn", r.Header.Get(headTxn))
 		refuse(w.Header(), f.core.Busy())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -170,6 +171,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	q.Label = r.Header.Get(headTxn)
 	q.TimeLeft = max(0, q.TimeLeft-onItsWay(r.Context()))
 	q.Kept = f.core.Kept(func() []byte { return Prompt(body) })
 	f.carry(w, r, q, body, memory)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -19,6 +19,7 @@
 
 	"rowanyard/internal/decisions"
 	"rowanyard/internal/grant"
+	"rowanyard/internal/invariant"
 	"rowanyard/internal/kvindex"
 )
 
@@ -60,6 +61,28 @@
 // Follow has each scrape count what is open at the desk.
 func (m *Metrics) Follow(d *decisions.Desk) { m.registry.MustRegister(open{d}) }
 
+// FollowGuard has each scrape count what the guards have found.
+func (m *Metrics) FollowGuard(g *invariant.Guard) { m.registry.MustRegister(guarded{g}) }
+
+// guarded collects what guards have found.
+type guarded struct{ guard *invariant.Guard }
+
+var descGuard = prometheus.NewDesc("rowanyard_guard_total",
+	"Steps that a guard stopped as two events had crossed (result=stopped), and invariants that did not hold (result=violated).",
+	[]string{"step", "result"}, nil)
+
+// Describe implements prometheus.Collector.
+func (c guarded) Describe(to chan<- *prometheus.Desc) { to <- descGuard }
+
+// Collect implements prometheus.Collector.
+func (c guarded) Collect(to chan<- prometheus.Metric) {
+	for _, count := range c.guard.Counts() {
+		step := count.Step.String()
+		to <- prometheus.MustNewConstMetric(descGuard, prometheus.CounterValue, float64(count.Stopped), step, "stopped")
+		to <- prometheus.MustNewConstMetric(descGuard, prometheus.CounterValue, float64(count.Violated), step, "violated")
+	}
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
