Accept and connect errors, silent kept connections, and a folder that fails: related paths of the incident

Cause, found by the audit: accept(2) errors other than for descriptors ended net/http's server and with it the process; local errors of connect were held against the worker; a kept connection that fell silent was found one by one (HTTP) or for a quarter of an hour not at all (gRPC); a broken connection other than by a reset did not count as gone. What operators asked for while the shared folder failed was taken back 0.1 s later, when the old file was read; an unreadable file was replaced by an empty state; a stopped process with the lock held calls up.

Change: internal/acceptretry; isLocal ends such an attempt as moot; one unanswered call drops the kept connections to that worker (idleconns.go) or retires the gRPC connection; hungUp knows all ends. Operators' changes stay pending until written, are synced with their folder, and are made again over what the file says; locks are waited for 0.2 s at most.

--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"rowanyard/decide"
+	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/core"
 	"rowanyard/internal/decisions"
 	"rowanyard/internal/describe"
@@ -248,7 +249,7 @@
 	}
 	p.atEnd(func() { l.Close() })
 	go func() {
-		if err := p.desk.Serve(p.discovery.Spare.Listener(l), max(leastCallers, p.files/callersPart)); err != nil {
+		if err := p.desk.Serve(acceptretry.Listener(p.discovery.Spare.Listener(l)), max(leastCallers, p.files/callersPart)); err != nil {
 			p.log.Error("the operators' address is closed", "err", err)
 		}
 	}()
--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
+	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/decisions"
 	"rowanyard/internal/extproc"
 	"rowanyard/internal/grpcfront"
@@ -79,7 +80,7 @@
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	p.others = append(p.others, server)
-	go func() { p.served <- server.Serve(netutil.LimitListener(l, clients)) }()
+	go func() { p.served <- server.Serve(netutil.LimitListener(acceptretry.Listener(l), clients)) }()
 	p.log.Info("serving", "front", name, "listen", l.Addr().String())
 	return nil
 }
@@ -97,7 +98,7 @@
 	pages.Handle("GET /metrics", p.metrics.Handler())
 	server := &http.Server{Handler: pages, ReadHeaderTimeout: scrapeWait, WriteTimeout: 10 * scrapeWait, IdleTimeout: time.Minute}
 	p.atEnd(func() { server.Close() })
-	go server.Serve(netutil.LimitListener(l, leastCallers))
+	go server.Serve(netutil.LimitListener(acceptretry.Listener(l), leastCallers))
 	p.log.Info("serving", "front", "metrics", "listen", l.Addr().String())
 	return nil
 }
--- /dev/null
+++ b/internal/grpcfront/silence_test.go
@@ -0,0 +1,52 @@
+package grpcfront_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rowanyard/internal/core"
+	"rowanyard/internal/grpcfront"
+	"rowanyard/internal/scale/faultproxy"
+	"rowanyard/internal/standin"
+)
+
+// All calls to a model server share one connection. Once that has fallen silent with no error, a call that is left unanswered
+// has the next one made on a new connection.
+func TestASilentConnectionIsReplaced(t *testing.T) {
+	var proxy *faultproxy.Proxy
+	fleet, err := standin.Start(standin.Options{GRPC: true, Via: func(host, address string) string {
+		if host != "writer-1" {
+			return address
+		}
+		var err error
+		if proxy, err = faultproxy.Start(address); err != nil {
+			t.Fatal(err)
+		}
+		return proxy.Address()
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	t.Cleanup(proxy.Close)
+	w := grpcfront.NewWorkers(time.Second, time.Minute)
+	t.Cleanup(w.Close)
+	probe := func(wait time.Duration) error {
+		ctx, stop := context.WithTimeout(context.Background(), wait)
+		defer stop()
+		_, err := w.Probe(ctx, core.Worker{Addr: proxy.Address(), Wire: grpcfront.Wire})
+		return err
+	}
+	const long = 20 * time.Second
+	if err := probe(long); err != nil {
+		t.Fatal(err)
+	}
+	proxy.Mute()
+	if probe(50*time.Millisecond) == nil {
+		t.Fatal("answered on a silent connection")
+	}
+	if err := probe(long); err != nil {
+		t.Errorf("the call after it: %v", err)
+	}
+}
--- a/internal/grpcfront/workers.go
+++ b/internal/grpcfront/workers.go
@@ -55,8 +55,9 @@
 // server is the connection to one model server.
 type server struct {
 	*grpc.ClientConn
-	calls int       // under way
-	used  time.Time // when the latest one ended
+	calls   int       // under way
+	used    time.Time // when the latest one ended
+	retired bool      // it has fallen silent: it is closed after its last call
 }
 
 // NewWorkers returns a client.
@@ -99,11 +100,25 @@
 	s.calls++
 	return s.ClientConn, sync.OnceFunc(func() {
 		w.mu.Lock()
+		defer w.mu.Unlock()
 		s.calls, s.used = s.calls-1, time.Now()
-		w.mu.Unlock()
+		if s.retired && s.calls == 0 {
+			s.Close()
+		}
 	}), nil
 }
 
+// retire has the next call to a server made on a new connection. Guards against one that has fallen silent with no error: all
+// calls share it, and the kernel tells after a quarter of an hour.
+func (w *Workers) retire(addr string, conn *grpc.ClientConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.conns[addr]; s != nil && s.ClientConn == conn {
+		s.retired = true // the caller's own call is among those under way
+		delete(w.conns, addr)
+	}
+}
+
 func (w *Workers) dial(addr string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+addr, // there is no DNS
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -237,6 +252,9 @@
 	}
 	defer done()
 	_, err = pb.NewModelServerClient(conn).Release(ctx, &pb.ReleaseRequest{Id: x.req.Id})
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.workers.retire(at.Addr, conn)
+	}
 	return err
 }
 
@@ -248,6 +266,9 @@
 	}
 	defer done()
 	r, err := pb.NewModelServerClient(conn).Load(ctx, &pb.LoadRequest{})
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.retire(at.Addr, conn)
+	}
 	if err != nil {
 		return decide.Probed{}, err
 	}
--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -54,6 +54,8 @@
 	bad   atomic.Bool                 // serves no further use
 	hand  atomic.Bool                 // its answer is to go on in another process
 	gift  int                         // the socket for that, once Read has returned errHanded
+	addr  string                      // of its worker
+	known *idleConns                  // it is among these until it is closed
 
 	serving sync.Mutex
 	serves  *calledOff // the attempt at hand, nil once its answer has ended
@@ -83,6 +85,9 @@
 	if c.done.CompareAndSwap(false, true) {
 		c.open.Add(-1)
 		close(c.over)
+		if c.known != nil {
+			c.known.remove(c)
+		}
 	}
 	return c.Conn.Close()
 }
@@ -122,10 +127,13 @@
 	return err == nil && n > 0
 }
 
-// hungUp says that the other side has ended a connection and nothing waits on it.
+// hungUp says that a connection has ended, by the other side or by an error of the network, and nothing waits on it.
 func hungUp(c net.Conn) bool {
 	n, err := peek(c)
-	return err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	if err == nil {
+		return n == 0
+	}
+	return !errors.Is(err, errNotPeeked) && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.ENOMEM)
 }
 
 var errNotPeeked = errors.New("not a socket")
@@ -143,7 +151,12 @@
 	err = errNotPeeked
 	if gone := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if !errors.Is(err, syscall.EINTR) {
+				return
+			}
+		}
 	}); gone != nil {
 		err = gone
 	}
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/inflight"
 )
 
@@ -72,15 +73,9 @@
 	}
 }
 
-// accept takes the next connection. After leave it takes what has come and closes the socket.
+// accept takes the next connection, whatever fails meanwhile. After leave it takes what has come and closes the socket.
 func (l *clients) accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	for outOfDescriptors(err) {
-		if made, _ := l.makeRoom(); !made {
-			return nil, err // net/http tries again a little later
-		}
-		c, err = l.Listener.Accept()
-	}
+	c, err := l.acceptNext()
 	if err == nil {
 		return c, nil
 	}
@@ -102,6 +97,28 @@
 	return nil, net.ErrClosed
 }
 
+// acceptNext returns an error only where the listener has ended, or leave was called. A client at which no request is at work
+// makes room where there is no descriptor left.
+func (l *clients) acceptNext() (net.Conn, error) {
+	var pause acceptretry.Pause
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || acceptretry.Ends(err) {
+			return c, err
+		}
+		if outOfDescriptors(err) {
+			if made, _ := l.makeRoom(); made {
+				continue
+			}
+		}
+		l.log.Debug("accept failed", "err", err)
+		pause.Wait()
+	}
+}
+
+// waitingTries is how often a failure is passed over while the queue of a socket is emptied.
+const waitingTries = 64
+
 // waitingAt takes a connection that has come already, nil where there is none.
 func waitingAt(t *net.TCPListener) net.Conn {
 	raw, err := t.SyscallConn()
@@ -110,8 +127,12 @@
 	}
 	fd := -1
 	_ = raw.Control(func(l uintptr) {
-		if n, _, err := syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err == nil {
-			fd = n
+		var err error
+		for range waitingTries {
+			fd, _, err = syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err == nil || errors.Is(err, syscall.EAGAIN) {
+				return
+			}
 		}
 	})
 	if fd < 0 {
--- a/internal/httpfront/descriptors.go
+++ b/internal/httpfront/descriptors.go
@@ -29,6 +29,17 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
+// isLocal says that a connection failed for want of something on this machine, which tells nothing of the one it was to.
+func isLocal(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+		syscall.EADDRINUSE, syscall.EAGAIN, syscall.EACCES, syscall.EPERM, syscall.EAFNOSUPPORT} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // dialing is dial, which frees descriptors where it needs one.
--- a/internal/httpfront/handed.go
+++ b/internal/httpfront/handed.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/inflight"
 )
 
@@ -140,7 +141,7 @@
 
 func (h *Handed) serve() {
 	for {
-		c, err := h.l.AcceptUnix()
+		c, err := acceptretry.Do(h.l.AcceptUnix)
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/internal/httpfront/silence_test.go
@@ -0,0 +1,153 @@
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanyard/decide"
+	"rowanyard/internal/acceptretry"
+	"rowanyard/internal/core"
+	"rowanyard/internal/scale/faultproxy"
+)
+
+// All connections that were kept to a worker fall silent with no error. The first call that is left unanswered shows it: the
+// next one must not meet another of them.
+func TestOneUnansweredCallShowsThatKeptConnectionsAreSilent(t *testing.T) {
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "util=0.10,queue=0")
+	}))
+	t.Cleanup(worker.Close)
+	proxy, err := faultproxy.Start(worker.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	w := NewWorkers(time.Second, time.Minute, 50, quiet)
+	to := core.Worker{Addr: proxy.Address()}
+	probe := func(wait time.Duration) error {
+		ctx, stop := context.WithTimeout(context.Background(), wait)
+		defer stop()
+		_, err := w.Probe(ctx, to)
+		return err
+	}
+	const kept, long = 8, 20 * time.Second
+	for round := 0; w.open.Load() < kept; round++ { // until so many were needed at once
+		var all sync.WaitGroup
+		for range 4 * kept {
+			all.Go(func() { _ = probe(long) })
+		}
+		all.Wait()
+		if round > 1000 {
+			t.Fatalf("%d connections", w.open.Load())
+		}
+	}
+	proxy.Mute()
+	if probe(50*time.Millisecond) == nil {
+		t.Fatal("answered on a silent connection")
+	}
+	if err := probe(long); err != nil {
+		t.Errorf("the call after it: %v", err)
+	}
+}
+
+// failingListener is a listener of which Accept fails in the ways that Linux documents before it brings a connection.
+type failingListener struct {
+	net.Listener
+	errs []syscall.Errno
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) > 0 {
+		err := l.errs[0]
+		l.errs = l.errs[1:]
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+// Whatever accept fails with, the front goes on taking connections: an error that net/http does not know ends the process.
+func TestAcceptErrorsDoNotEndTheFront(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+			syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EOPNOTSUPP, syscall.ETIMEDOUT} {
+			l := newClients(&failingListener{errs: []syscall.Errno{errno, errno}}, 10, 0, quiet)
+			c, err := l.Accept()
+			if err != nil {
+				t.Errorf("%v: %v", errno, err)
+				continue
+			}
+			c.Close()
+		}
+	})
+	if !acceptretry.Ends(net.ErrClosed) {
+		t.Error("a closed listener goes on")
+	}
+}
+
+// A connection that fails for want of something on this machine says nothing of the worker; one that the network or the worker
+// refuses does. None of them has run.
+func TestConnectErrorsAreNamed(t *testing.T) {
+	for errno, want := range map[syscall.Errno]decide.Status{
+		syscall.EADDRNOTAVAIL: decide.Moot, syscall.ENOBUFS: decide.Moot, syscall.ENFILE: decide.Moot, syscall.EMFILE: decide.Moot,
+		syscall.ENOMEM: decide.Moot, syscall.ECONNREFUSED: decide.ConnectFailed, syscall.ENETUNREACH: decide.ConnectFailed,
+		syscall.EHOSTUNREACH: decide.ConnectFailed, syscall.ETIMEDOUT: decide.ConnectFailed, syscall.ECONNABORTED: decide.ConnectFailed,
+	} {
+		err := fmt.Errorf("dial: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)})
+		if got := failure(context.Background(), err, false); got != want {
+			t.Errorf("%v: status %d, want %d", errno, got, want)
+		}
+		if got := failure(context.Background(), err, true); got != decide.Reset {
+			t.Errorf("%v after the last byte: status %d, want reset", errno, got)
+		}
+	}
+}
+
+// A connection that the network has broken has gone, like one that its client has closed.
+func TestABrokenConnectionHasGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for name, end := range map[string]func(c *net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.Close() },
+		"reset":  func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		server, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if hungUp(server) {
+			t.Errorf("%s: gone before", name)
+		}
+		end(client.(*net.TCPConn))
+		for until := time.Now().Add(20 * time.Second); !hungUp(server); {
+			if time.Now().After(until) {
+				t.Fatalf("%s: not seen", name)
+			}
+		}
+		if !hungUp(server) { // the error was taken off the socket with the first look
+			t.Errorf("%s: back again", name)
+		}
+		server.Close()
+	}
+	if c, _ := net.Pipe(); hungUp(c) || errors.Is(errNotPeeked, net.ErrClosed) {
+		t.Error("what is no socket is taken for gone")
+	}
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -49,6 +49,7 @@
 	Spare *Descriptors
 	open  atomic.Int64
 	limit atomic.Int64
+	idle  idleConns
 	after func(time.Duration) <-chan time.Time // time.After, but for tests
 }
 
@@ -72,7 +73,9 @@
 				w.open.Add(-1)
 				return nil, err
 			}
-			return &workerConn{Conn: c, open: &w.open, over: make(chan struct{})}, nil
+			conn := &workerConn{Conn: c, open: &w.open, over: make(chan struct{}), addr: addr, known: &w.idle}
+			w.idle.add(conn)
+			return conn, nil
 		},
 		DisableCompression: true, MaxIdleConnsPerHost: max(2, min(idlePerHost, maxConns/4)), MaxIdleConns: max(4, maxConns*2/3),
 		IdleConnTimeout: time.Duration(idleShare * float64(connIdle)),
@@ -235,7 +238,7 @@
 // failure names the end of an attempt without an answer.
 func failure(ctx context.Context, err error, ran bool) decide.Status {
 	switch {
-	case errors.Is(err, errWithdrawn), errors.Is(err, errTooMany), !ran && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(err, errWithdrawn), errors.Is(err, errTooMany), !ran && isLocal(err), !ran && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return decide.Moot
 	case !ran:
 		return decide.ConnectFailed
@@ -341,7 +344,9 @@
 
 // call makes a call without a body.
 func (w *Workers) call(ctx context.Context, method string, at core.Worker, path string) ([]byte, error) {
+	var reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		reused.Store(i.Reused)
 		if c, ok := i.Conn.(*workerConn); ok { // what an attempt that was never written has left there
 			c.may.Store(nil)
 		}
@@ -352,6 +357,9 @@
 	}
 	res, err := w.transport.RoundTrip(req)
 	if err != nil {
+		if reused.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			w.idle.drop(at.Addr)
+		}
 		return nil, err
 	}
 	defer res.Body.Close()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -39,27 +39,31 @@
 	Serving func() bool
 	Log     *slog.Logger
 
-	mu    sync.Mutex
-	state State
-	mine  int // this process's number
+	mu     sync.Mutex
+	state  State
+	mine   int            // this process's number
+	unkept []func(*State) // changes that are not in the file yet, the oldest first
 }
 
 // Begin takes what holds from before: what an older process was told.
 func (d *Desk) Begin() {
+	alone := d.Share.Alone()
 	d.change(func(st *State) {
-		if d.Share.Alone() { // nobody serves any more
+		if d.mine == 0 {
+			d.mine = st.Started + 1
+		}
+		if alone && st.Serving < d.mine { // nobody serves any more
 			st.Serving = 0
 		}
-		st.Started++
+		st.Started = max(st.Started, d.mine)
 	})
-	d.mine = d.state.Started
 	if err := d.Share.Join(d.mine); err != nil {
 		d.Log.Error("another process can't see that this one runs", "err", err)
 	}
 }
 
 // Serves tells an older process that this one has begun to serve.
-func (d *Desk) Serves() { d.change(func(st *State) { st.Serving = d.mine }) }
+func (d *Desk) Serves() { d.change(func(st *State) { st.Serving = max(st.Serving, d.mine) }) }
 
 // Socket is where this process takes the streams of an older one.
 func (d *Desk) Socket() string { return d.Share.Socket(d.mine) }
@@ -94,34 +98,49 @@
 	}
 }
 
+// look takes what the other process was told, and writes what could not be written before.
 func (d *Desk) look() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.Share.path == "" {
 		return
 	}
-	if st, err := d.Share.Load(); err == nil {
-		d.take(st)
+	st, err := d.Share.Load()
+	if len(d.unkept) > 0 || err != nil {
+		d.keep()
+		return
 	}
+	d.take(st)
 }
 
-// change changes the state here and in the file. Where the file fails it holds here all the same.
+// change changes the state here and in the file. Where the file fails it holds here all the same, and is written as soon as that
+// can be done: what operators were told has been done must not be taken back.
 func (d *Desk) change(change func(*State)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	st, err := State{}, error(nil)
-	if d.Share.path != "" {
-		st, err = d.Share.Update(change)
-	}
-	if err != nil || d.Share.path == "" {
-		st = d.state
-		st.Banned = slices.Clone(st.Banned)
-		change(&st)
+	before := len(d.unkept)
+	d.unkept = append(d.unkept, change)
+	if err := d.keep(); err != nil && before == 0 {
+		d.Log.Error("what operators asked for is not kept yet for an upgrade", "err", err)
 	}
+}
+
+// keep makes the changes that are not in the file yet, here and there. The caller holds the lock.
+func (d *Desk) keep() error {
+	known := d.state
+	known.Banned = slices.Clone(known.Banned)
+	st, err := d.Share.Update(known, d.unkept...)
 	if err != nil {
-		d.Log.Error("what operators asked for is not kept for an upgrade", "err", err)
+		apply(&known, d.unkept)
+		d.take(known)
+		return err
 	}
+	if len(d.unkept) > 1 {
+		d.Log.Info("what operators asked for is kept now", "changes", len(d.unkept))
+	}
+	d.unkept = nil
 	d.take(st)
+	return nil
 }
 
 // take makes st what holds here.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,11 +1,14 @@
 package operator
 
 import (
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 )
 
@@ -100,3 +103,91 @@
 		t.Error("nothing to share")
 	}
 }
+
+// The folder may fail for a while, at a write, a sync or a rename. What an operator was told has been done holds meanwhile, is not
+// taken back by what the file says, and is in the file once that can be written.
+func TestWhatWasAskedIsOwedWhileTheFolderFails(t *testing.T) {
+	dir := t.TempDir()
+	s, f := open(t, dir), &fleet{listed: []string{"w1", "w2"}}
+	d := desk(s, f)
+	d.Begin()
+	if call(d, http.MethodPost, "/maintenance/enter?who=w1") != 200 {
+		t.Fatal("refused")
+	}
+	for _, fails := range []error{syscall.ENOSPC, syscall.EIO} {
+		s.write = func(string, []byte) error { return fails }
+		for _, path := range []string{"/maintenance/enter?who=w2", "/maintenance/exit?who=w1"} {
+			if got := call(d, http.MethodPost, path); got != 200 {
+				t.Errorf("%v: %s: %d", fails, path, got)
+			}
+		}
+		if d.look(); !slices.Equal(f.out, []string{"w2"}) {
+			t.Errorf("%v: out %v, taken back", fails, f.out)
+		}
+		s.write = writeDurably
+		d.look()
+		if st, err := s.Load(); err != nil || !slices.Equal(st.Banned, []string{"w2"}) || st.Started != 1 {
+			t.Errorf("%v: the file has %+v, %v", fails, st, err)
+		}
+		call(d, http.MethodPost, "/maintenance/exit?who=w2")
+		call(d, http.MethodPost, "/maintenance/enter?who=w1")
+	}
+}
+
+// A file that is empty, half written or noise does not undo what this process knows, and is made whole again.
+func TestAGarbledFileIsMadeWhole(t *testing.T) {
+	for _, text := range []string{"", `{"started":1,"ban`, "\x00\x00", "[]"} {
+		s, f := open(t, t.TempDir()), &fleet{listed: []string{"w1"}}
+		d := desk(s, f)
+		d.Begin()
+		call(d, http.MethodPost, "/maintenance/enter?who=w1")
+		if err := os.WriteFile(s.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if d.look(); !slices.Equal(f.out, []string{"w1"}) {
+			t.Errorf("%q: out %v", text, f.out)
+		}
+		if st, err := s.Load(); err != nil || !slices.Equal(st.Banned, []string{"w1"}) || st.Started != 1 {
+			t.Errorf("%q: the file has %+v, %v", text, st, err)
+		}
+	}
+}
+
+// A file is replaced whole or not at all, and nothing half written is left.
+func TestAFailedWriteLeavesTheOldText(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f")
+	if err := writeDurably(path, []byte("old")); err != nil {
+		t.Fatal(err)
+	}
+	fails := func(*os.File) error { return syscall.EIO }
+	if err := replaceFile(path, []byte("new"), fails); !errors.Is(err, syscall.EIO) {
+		t.Errorf("%v", err)
+	}
+	if text, _ := os.ReadFile(path); string(text) != "old" {
+		t.Errorf("%q", text)
+	}
+	if _, err := os.Stat(path + ".new"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("left over: %v", err)
+	}
+}
+
+// A process that has the lock and is stopped holds no call up.
+func TestAStoppedProcessHoldsNoCallUp(t *testing.T) {
+	s, f := open(t, t.TempDir()), &fleet{listed: []string{"w1"}}
+	d := desk(s, f)
+	d.Begin()
+	other, err := os.Open(s.path + ".lock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := lockWithin(other, lockWait); err != nil {
+		t.Fatal(err)
+	}
+	if got := call(d, http.MethodPost, "/maintenance/enter?who=w1"); got != 200 || len(f.out) != 1 {
+		t.Errorf("%d, out %v", got, f.out)
+	}
+	other.Close()
+	if d.look(); len(d.unkept) != 0 {
+		t.Errorf("%d changes are not written", len(d.unkept))
+	}
+}
--- a/internal/operator/share.go
+++ b/internal/operator/share.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // State is what operators have asked for and what holds until they take it back, over upgrades too.
@@ -30,12 +31,19 @@
 	alive *os.File // locked for as long as the process that has it runs
 	mu    sync.Mutex
 	alone bool
-	mine  *os.File // locked too, and named by this process's number
+	mine  *os.File                             // locked too, and named by this process's number
+	write func(path string, text []byte) error // writeDurably, but for tests
 }
 
+// Limits of the wait for another process that writes.
+const (
+	lockWait = 200 * time.Millisecond
+	lockLook = 5 * time.Millisecond
+)
+
 // Open joins the router's other processes in dir; "" shares nothing.
 func Open(dir, name string) (*Share, error) {
-	s := &Share{}
+	s := &Share{write: writeDurably}
 	if dir == "" {
 		return s, nil
 	}
@@ -123,46 +131,101 @@
 	return st, nil
 }
 
-// Update changes the file. What can't be read is replaced: it would never get better.
-func (s *Share) Update(change func(*State)) (State, error) {
+// Update changes the file, in order. What can't be read is replaced by what this process knew: it would never get better. Where
+// it returns an error the file may hold the old text or the new one, and the same changes are to be made again.
+func (s *Share) Update(known State, changes ...func(*State)) (State, error) {
 	if s.path == "" {
-		st := State{}
-		change(&st)
-		return st, nil
+		apply(&known, changes)
+		return known, nil
 	}
 	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return State{}, err
 	}
 	defer lock.Close()
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+	if err := lockWithin(lock, lockWait); err != nil {
 		return State{}, err
 	}
-	st, _ := s.Load()
-	change(&st)
+	st, err := s.Load()
+	if err != nil {
+		st = known
+		st.Banned = slices.Clone(st.Banned)
+	}
+	apply(&st, changes)
+	text, err := json.Marshal(st)
+	if err == nil {
+		err = s.write(s.path, text)
+	}
+	return st, err
+}
+
+// apply makes changes.
+func apply(st *State, changes []func(*State)) {
+	for _, change := range changes {
+		change(st)
+	}
 	slices.Sort(st.Banned)
 	st.Banned = slices.Compact(st.Banned)
-	return st, replace(s.path, st)
 }
 
-// replace writes v to path such that a reader finds the old text or the new one, never a part.
-func replace(path string, v any) error {
-	text, err := json.Marshal(v)
+// lockWithin locks a file. Guards calls against another process that has the lock and is stopped.
+func lockWithin(file *os.File, wait time.Duration) error {
+	for begun := time.Now(); ; time.Sleep(lockLook) {
+		err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		busy := errors.Is(err, syscall.EWOULDBLOCK) || errors.Is(err, syscall.EINTR)
+		if !busy || time.Since(begun) > wait {
+			return err
+		}
+	}
+}
+
+// replaceFile writes a file such that a reader finds the old text or the new one, never a part. sync is called on the new one
+// before it takes the old one's place.
+func replaceFile(path string, text []byte, sync func(*os.File) error) error {
+	fresh := path + ".new"
+	file, err := os.OpenFile(fresh, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(text)
 	if err == nil {
-		err = os.WriteFile(path+".new", text, 0o600)
+		err = sync(file)
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
 	}
 	if err == nil {
-		err = os.Rename(path+".new", path)
+		err = os.Rename(fresh, path)
+	}
+	if err != nil {
+		_ = os.Remove(fresh) // what is half written takes room that may be short
 	}
 	return err
 }
 
-// Keep writes down what this process knows for the next one.
+// writeDurably replaces a file such that the new text lasts once it returns.
+func writeDurably(path string, text []byte) error {
+	if err := replaceFile(path, text, (*os.File).Sync); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+// Keep writes down what this process knows for the next one. Nothing of it is owed, so that it need not last.
 func (s *Share) Keep(v any) error {
 	if s.path == "" {
 		return nil
 	}
-	return replace(s.path+".learned", v)
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return replaceFile(s.path+".learned", text, func(*os.File) error { return nil })
 }
 
 // Kept reads what an older process knew; it says no where there is nothing.
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -57,7 +57,8 @@
 type session struct {
 	proxy          *Proxy
 	client, server *net.TCPConn
-	passes         int // bytes that still pass although the network is silent
+	passes         int  // bytes that still pass although the network is silent
+	mute           bool // it alone has fallen silent, for good
 	swallowed      bool
 }
 
@@ -117,6 +118,15 @@
 	p.wake()
 }
 
+// Mute has the connections that are open now fall silent for good, with no error; new ones are not touched.
+func (p *Proxy) Mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		s.mute = true
+	}
+}
+
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -257,6 +267,9 @@
 		if err == nil {
 			continue
 		}
+		if s.isMute() && !fromClient {
+			return // its client is not told
+		}
 		s.awaitNetwork()
 		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite()
@@ -267,15 +280,21 @@
 	}
 }
 
+func (s *session) isMute() bool {
+	s.proxy.mu.Lock()
+	defer s.proxy.mu.Unlock()
+	return s.mute
+}
+
 // passing is how many of the bytes get through.
 func (s *session) passing(n int, fromClient bool) int {
 	s.proxy.mu.Lock()
 	defer s.proxy.mu.Unlock()
-	if !silent(s.proxy.fault) {
+	if !silent(s.proxy.fault) && !s.mute {
 		return n
 	}
 	pass := 0
-	if fromClient {
+	if fromClient && !s.mute {
 		pass = min(n, s.passes)
 		s.passes -= pass
 	}
--- a/internal/scale/faultproxy/faultproxy_test.go
+++ b/internal/scale/faultproxy/faultproxy_test.go
@@ -144,3 +144,17 @@
 		t.Errorf("answered %q after a reset", got)
 	}
 }
+
+// Connections may fall silent one by one: new ones to the same server serve.
+func TestMuteTouchesOpenConnectionsOnly(t *testing.T) {
+	p := proxied(t)
+	old := dial(t, p)
+	says(old, "a\n", long)
+	p.Mute()
+	if got, err := says(old, "b\n", soon); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%q, %v", got, err)
+	}
+	if got, err := says(dial(t, p), "c\n", long); got != "c\n" {
+		t.Errorf("a new connection: %q, %v", got, err)
+	}
+}
