--- a/internal/scale/clockstep/clockstep.go
+++ b/internal/scale/clockstep/clockstep.go
@@ -67,7 +67,9 @@
 	if err != nil {
 		return err
 	}
-	out, err := exec.Command("go", "build", "-overlay", overlay, "-o", binary, source).CombinedOutput()
+	build := exec.Command("go", "build", "-overlay", overlay, "-o", binary, ".")
+	build.Dir = source
+	out, err := build.CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("%w: %s", err, out)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -52,11 +53,24 @@
 	Behave func(stage, key string, n int) Fault
 	// Via is where a worker at an address is listed instead, such as a proxy in front of it; nil: at its own.
 	Via func(host, address string) string
+	// Only starts the workers of one kind, "reader" or "writer"; "": of both.
+	Only string
+	// States is where read states are kept, for workers in several processes; nil: in this Fleet.
+	States States
+	// Told is told how long a router says that it will wait for an attempt; nil: nobody is.
+	Told func(id, host string, left time.Duration)
 	// Seen is told what happens at a worker, under the Fleet's lock: "out" and "in" round each attempt, "held" and
 	// "freed" of a state, "effect" of a write.
 	Seen func(what, id, class, host string)
 }
 
+// States is where read states are kept, by request id. Each says whether one was there, or could be kept.
+type States interface {
+	Hold(id, host string) bool
+	Fetch(id, host string) bool
+	Release(id string) bool
+}
+
 // Fleet is a running toy deployment.
 type Fleet struct {
 	Options
@@ -91,11 +105,17 @@
 	o.Readers, o.Writers, o.Tokens = max(1, o.Readers), max(1, o.Writers), max(1, o.Tokens)
 	f := &Fleet{Options: o, watchers: make(map[chan struct{}]bool), held: make(map[string]bool),
 		calls: make(map[string]int), at: make(map[string]int), effects: make(map[string]int), writes: make(map[string]int), stop: make(chan struct{}), seq: 1}
+	if f.States == nil {
+		f.States = localStates{f}
+	}
 	for i := range o.Readers + o.Writers {
 		kind := "reader"
 		if i >= o.Readers {
 			kind = "writer"
 		}
+		if o.Only != "" && kind != o.Only {
+			continue
+		}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -105,7 +125,7 @@
 			h.Dial = o.Via(h.Host, h.Dial)
 		}
 		f.hosts = append(f.hosts, h)
-		w := &worker{fleet: f, name: f.hosts[i].Host, reader: kind == "reader"}
+		w := &worker{fleet: f, name: h.Host, reader: kind == "reader"}
 		if o.GRPC {
 			g := grpc.NewServer()
 			pb.RegisterModelServerServer(g, w)
@@ -306,10 +326,34 @@
 	case <-ctx.Done():
 		return
 	}
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	w.fleet.held[c.id] = true
-	w.fleet.see("held", c.id, c.class, w.name)
+	if w.fleet.States.Hold(c.id, w.name) {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		w.fleet.see("held", c.id, c.class, w.name)
+	}
+}
+
+// localStates keeps states in their Fleet.
+type localStates struct{ fleet *Fleet }
+
+// Hold implements States.
+func (s localStates) Hold(id, _ string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.held[id] = true
+	return true
+}
+
+// Fetch implements States.
+func (s localStates) Fetch(id, _ string) bool { return s.Release(id) }
+
+// Release implements States.
+func (s localStates) Release(id string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	held := s.fleet.held[id]
+	delete(s.fleet.held, id)
+	return held
 }
 
 // see tells what happens; it is called under the lock.
@@ -322,12 +366,11 @@
 // fetch takes the state; from here on a write has its effect.
 func (w *worker) fetch(c call) bool {
 	f := w.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.held[c.id] {
+	if !f.States.Fetch(c.id, w.name) {
 		return false
 	}
-	delete(f.held, c.id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.effects[c.class+" "+c.key]++
 	f.writes[c.id]++
 	f.see("freed", c.id, c.class, w.name)
@@ -336,10 +379,9 @@
 }
 
 func (w *worker) release(id string) {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	if w.fleet.held[id] {
-		delete(w.fleet.held, id)
+	if w.fleet.States.Release(id) {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
 		w.fleet.see("freed", id, "", w.name)
 	}
 }
@@ -389,6 +431,9 @@
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if left, err := strconv.Atoi(r.Header.Get("X-Remaining-Ms")); err == nil && w.fleet.Told != nil {
+		w.fleet.Told(r.Header.Get("X-Txn"), w.name, time.Duration(left)*time.Millisecond)
+	}
 	c := w.enter(r.Header.Get("X-Txn"), r.Header.Get("X-Lane"), b.Messages[len(b.Messages)-1].Content)
 	defer func() { w.fleet.mu.Lock(); w.fleet.see("in", c.id, c.class, w.name); w.fleet.mu.Unlock() }()
 	away := func(code int) { rw.Header().Set("X-Turned-Away", "1"); rw.WriteHeader(code) }
