--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -15,6 +15,7 @@
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/scale/faultproxy"
 	"rowanyard/internal/scale/registry"
+	"rowanyard/internal/wallclock"
 )
 
 // Programs are the executables of a run.
@@ -285,7 +286,7 @@
 		d.signalWorker(w, syscall.SIGKILL)
 		time.Sleep(f.For)
 		if d.startWorker(w) == nil {
-			d.relist(w, func() { w.bornMs = float64(time.Now().UnixMilli()) })
+			d.relist(w, func() { w.bornMs = float64(wallclock.Milliseconds()) })
 		}
 	case WorkerDrains:
 		d.relist(w, func() { w.health = "draining" })
