--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -117,6 +117,35 @@
 	})
 }
 
+// A write that is out on a connection that was alive right before waits at its worker: the guard finds nothing, however long it
+// takes, and does not spin meanwhile (the clock of the test would stand still).
+func TestGuardOfClosingLeavesVerifiedWritesAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{}
+		s.try = func(ctx context.Context, a Attempt) Result {
+			if a.Allowed(); a.Read {
+				return Result{Status: decide.Read}
+			}
+			a.Verified()
+			<-ctx.Done()
+			return Result{Status: decide.Cancelled}
+		}
+		c := started(t, s, "w")
+		forgetful := settings
+		forgetful.PinLimit = 0
+		c.tell(func(now time.Duration, r *decide.Router) { _ = r.Apply(now, forgetful) })
+		client, leave := context.WithCancel(t.Context())
+		go c.Serve(client, ask(message, time.Minute), s)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if n := violated(c, invariant.Closing); n != 0 {
+			t.Errorf("%d violations", n)
+		}
+		leave()
+		settled(t, c)
+	})
+}
+
 // Once the process ends, nothing new is begun: it is refused, and may come again elsewhere.
 func TestGuardOfStarting(t *testing.T) {
 	s := &scripted{try: func(context.Context, Attempt) Result { return Result{Status: decide.Read} }}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -22,6 +22,7 @@
 	overdue    = 15 * time.Millisecond  // what the module has left unanswered for so long is failed
 	settleMost = 250 * time.Millisecond // for an attempt's end to be seen, where no connect timeout is set
 	maxChoices = 64                     // of a request not yet carried out
+	guardLook  = 50 * time.Millisecond  // what is held past its limit is looked at so often
 	never      = 1 << 62 * time.Nanosecond
 )
 
@@ -156,7 +157,7 @@
 		l.letGo()
 		l.checkHeld()
 		if l.waiting && !l.letGoOnce && l.settings.PinLimit > 0 {
-			held.Reset(max(0, l.settings.PinLimit+pinSlack-l.heldFor()))
+			held.Reset(max(guardLook, l.settings.PinLimit+pinSlack-l.heldFor()))
 		}
 	}
 }
