What a read may have left goes at the pin limit, not before; a verified write's end starts the time anew

The guard counted from the read where a verified write had ended.

Change: a read of unknown fate is followed by a release once nothing is out, as before, or at the limit. The guard counts from a verified write's end.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -146,6 +146,41 @@
 	})
 }
 
+// A read of unknown fate may have left a state. The next read may not arrive: what was left is let go at the limit all the same,
+// and not before, while the next read may be about to leave one.
+func TestWhatAReadMayHaveLeftIsLetGoAtTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{}
+		s.try = func(ctx context.Context, a Attempt) Result {
+			if a.Allowed(); a.Number == 0 {
+				return Result{Status: decide.Reset}
+			}
+			<-ctx.Done()
+			return Result{Status: decide.Cancelled}
+		}
+		c := started(t, s, "w")
+		c.SetWorkers(false, []Worker{{Server: decide.Server{ID: "r2", Kind: 0}}})
+		client, leave := context.WithCancel(t.Context())
+		go c.Serve(client, ask(draft, time.Minute), s)
+		time.Sleep(settings.PinLimit - time.Millisecond)
+		synctest.Wait()
+		s.mu.Lock()
+		if len(s.tries) != 2 || len(s.released) > 0 {
+			t.Errorf("before the limit: %d attempts, released at %v", len(s.tries), s.released)
+		}
+		s.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		s.mu.Lock()
+		if len(s.released) == 0 {
+			t.Error("not let go at the limit")
+		}
+		s.mu.Unlock()
+		leave()
+		settled(t, c)
+	})
+}
+
 // Once the process ends, nothing new is begun: it is refused, and may come again elsewhere.
 func TestGuardOfStarting(t *testing.T) {
 	s := &scripted{try: func(context.Context, Attempt) Result { return Result{Status: decide.Read} }}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -41,23 +41,24 @@
 
 	// Owned by live, but for verdict and retryAfter, which the core's lock guards: the module may
 	// settle the request from a timer while its first token arrives, and only one of them wins.
-	verdict    Verdict
-	retryAfter time.Duration
-	answered   bool
-	attempts   []*attempt
-	out        int  // attempts without a result
-	streaming  bool // the answer's stream has not ended
-	stream     int  // the attempt that streams
-	left       bool // its client went while it streamed
-	held       bool // a state may be held for it at a worker
-	unknown    bool // a read ended without telling whether it left a state
-	waiting    bool // a read state waits and the module knows it
-	reader     Worker
-	reads      atomic.Int32 // that left a state
-	heldSince  time.Time    // the state that waits has been held since then
-	letGoOnce  bool         // and was let go at the limit
-	closed     atomic.Bool  // the final answer is fixed
-	why        string       // the module's latest reason; the core's lock guards it
+	verdict      Verdict
+	retryAfter   time.Duration
+	answered     bool
+	attempts     []*attempt
+	out          int  // attempts without a result
+	streaming    bool // the answer's stream has not ended
+	stream       int  // the attempt that streams
+	left         bool // its client went while it streamed
+	held         bool // a state may be held for it at a worker
+	unknown      bool // a read ended without telling whether it left a state
+	waiting      bool // a read state waits and the module knows it
+	reader       Worker
+	reads        atomic.Int32 // that left a state
+	unknownSince time.Time    // a read of unknown fate ended then
+	heldSince    time.Time    // the state that waits has been held since then
+	letGoOnce    bool         // and was let go at the limit
+	closed       atomic.Bool  // the final answer is fixed
+	why          string       // the module's latest reason; the core's lock guards it
 }
 
 type attempt struct {
@@ -156,8 +157,12 @@
 		}
 		l.letGo()
 		l.checkHeld()
-		if l.waiting && !l.letGoOnce && l.settings.PinLimit > 0 {
-			held.Reset(max(guardLook, l.settings.PinLimit+pinSlack-l.heldFor()))
+		switch limit := l.settings.PinLimit; {
+		case limit <= 0:
+		case l.waiting && !l.letGoOnce:
+			held.Reset(max(guardLook, limit+pinSlack-l.heldFor()))
+		case l.unknown && !l.waiting:
+			held.Reset(max(guardLook, limit-time.Since(l.unknownSince)))
 		}
 	}
 }
@@ -385,12 +390,14 @@
 		}
 	case e.NoState:
 		l.waiting = false
-	case !a.Read && (e.Status == decide.Errored || e.Status == decide.Full): // it had arrived: the time begins anew
+	case !a.Read && (a.verified.Load() || e.Status == decide.Errored || e.Status == decide.Full):
+		// It had arrived: the time begins anew.
 		l.heldSince, l.letGoOnce = time.Now(), false
 	case a.Read && (e.Status == decide.TimedOut || e.Status == decide.Cancelled || e.Status == decide.Reset ||
 		e.Status == decide.Errored):
 		// It may have ended well just as its connection closed: a state may wait there all the same.
 		l.held, l.unknown, l.reader = true, true, a.To
+		l.unknownSince = time.Now()
 	}
 	level := slog.LevelInfo
 	if e.Status == decide.Read {
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -21,13 +21,14 @@
 	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 )
 
-// letGo releases what may be held for the request once none of its attempts is out: always when it is answered. A read of
-// unknown fate may have left a state that the module does not know of: that is let go before the answer too, and whatever is
-// out, as what was sent after it need not have arrived. Guards the pin limit.
+// letGo releases what may be held for the request once none of its attempts is out: always when it is answered, and before that
+// where a read of unknown fate may have left a state that the module does not know of. That one goes at the pin limit though
+// an attempt is out, as what was sent after it need not have arrived; not before, as a release that is late on its way
+// would let go of what the next read leaves.
 func (l *life) letGo() {
-	ended := l.answered && l.out == 0 && len(l.choices) == 0
-	leftBehind := l.unknown && !l.waiting
-	if !l.held || !ended && !leftBehind {
+	ended := l.answered && len(l.choices) == 0
+	leftBehind := l.unknown && !l.waiting && len(l.choices) == 0
+	if !l.held || l.out > 0 && !l.leftBehindTooLong() || !ended && !leftBehind {
 		return
 	}
 	why := "answered"
@@ -38,6 +39,13 @@
 	l.held, l.unknown, l.waiting = false, false, false
 }
 
+// leftBehindTooLong says that the pin limit has passed since a read of unknown fate ended, and nothing has come of what was
+// sent after it.
+func (l *life) leftBehindTooLong() bool {
+	limit := l.settings.PinLimit
+	return l.unknown && !l.waiting && !l.answered && limit > 0 && time.Since(l.unknownSince) >= limit
+}
+
 // releaseBeforeArrival lets go of a state whose write is out and has not shown that it arrived. What is still held when its
 // attempts have ended is let go then.
 func (l *life) releaseBeforeArrival() {
