What a read may have left is let go at the limit where the next worker gives no sign

Change: at the limit the worker of the next attempt is probed, 0.1 s; only where it gives no sign the release goes, to workers that answered lately.

--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -107,5 +107,5 @@
 	}
 	l.letGoOnce = true
 	l.core.Guard.Violated(invariant.Closing, "state held", "id", l.ID, "txn", l.Label, "held_ms", l.heldFor().Milliseconds())
-	l.startRelease("guard", false)
+	l.startRelease("guard", l.reader, false)
 }
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -17,6 +17,7 @@
 	releaseNext  = 40 * time.Millisecond  // one unanswered for so long is sent to another worker too
 	releaseWait  = 250 * time.Millisecond // and is given up after this
 	releaseTries = 8
+	reachWait    = 100 * time.Millisecond // a worker that has not answered a probe by then is out of reach
 	releaseAgain = 100 * time.Millisecond // a read of unknown fate is let go a second time after this
 	heardLately  = 10 * time.Second       // a worker that has answered within this is asked before others
 )
@@ -28,14 +29,19 @@
 func (l *life) letGo() {
 	ended := l.answered && len(l.choices) == 0
 	leftBehind := l.unknown && !l.waiting && len(l.choices) == 0
-	if !l.held || l.out > 0 && !l.leftBehindTooLong() || !ended && !leftBehind {
+	if l.leftBehindTooLong() && l.out > 0 {
+		l.unknown = false // what is still held in the end is let go then
+		l.releaseUnlessInReach(l.attempts[len(l.attempts)-1].To)
+		return
+	}
+	if !l.held || l.out > 0 || !ended && !leftBehind {
 		return
 	}
 	why := "answered"
 	if leftBehind {
 		why = "read of unknown fate"
 	}
-	l.startRelease(why, l.unknown)
+	l.startRelease(why, l.reader, l.unknown)
 	l.held, l.unknown, l.waiting = false, false, false
 }
 
@@ -51,16 +57,37 @@
 func (l *life) releaseBeforeArrival() {
 	if l.held && l.out > 0 && !l.answered {
 		l.letGoOnce = true
-		l.startRelease("limit, no sign of the write", false)
+		l.startRelease("limit, no sign of the write", l.reader, false)
+	}
+}
+
+// releaseUnlessInReach lets go of what a read of unknown fate may have left, unless the worker that was sent the request next is
+// in reach: the attempt there is likely to be under way then, and a release could take what it is about to leave.
+func (l *life) releaseUnlessInReach(next Worker) {
+	if !l.settings.CanProbe {
+		l.startRelease("read of unknown fate", Worker{}, false)
+		return
 	}
+	reads := l.reads.Load()
+	l.core.running.Begin()
+	go func() {
+		defer l.core.running.End()
+		ctx, stop := context.WithTimeout(context.Background(), reachWait)
+		defer stop()
+		if _, err := l.core.prober.Probe(ctx, next); err != nil && l.reads.Load() == reads {
+			l.startRelease("read of unknown fate, no sign of the next", Worker{}, false)
+		}
+	}()
 }
 
-// startRelease releases what is held, unless another read has left a state by then.
-func (l *life) startRelease(why string, unknown bool) {
+// startRelease releases what is held, unless another read has left a state by then. first is asked before others: the worker that
+// has the state, or none where its answer may be late, and a late release would let go of what the next read leaves. again has
+// it done once more a little later.
+func (l *life) startRelease(why string, first Worker, again bool) {
 	reads := l.reads.Load()
-	l.core.log.Info("release", "id", l.ID, "txn", l.Label, "why", why, "reader", l.reader.ID, "held_ms", l.heldFor().Milliseconds())
+	l.core.log.Info("release", "id", l.ID, "txn", l.Label, "why", why, "first", first.ID)
 	l.core.running.Begin()
-	go l.core.release(l, l.reader, unknown, func() bool { return l.reads.Load() == reads })
+	go l.core.release(l, first, again, func() bool { return l.reads.Load() == reads })
 }
 
 // hears notes whether a worker has answered.
