--- a/decide/decide.go
+++ b/decide/decide.go
@@ -868,7 +868,7 @@
 		return
 	}
 	a := &p.sent[o.Attempt]
-	inReach := a.server.heard >= a.at
+	inReach := a.inReach()
 	r.account(p, a, o)
 	if o.Final {
 		p.answered = true
--- a/decide/heldstate.go
+++ b/decide/heldstate.go
@@ -32,6 +32,10 @@
 	return a
 }
 
+// inReach says that the server has answered to anything for some time after the attempt was sent: a
+// silence may have begun between an earlier answer and the write.
+func (a *attempt) inReach() bool { return a.server.heard >= a.at+confirmWait/2 }
+
 // checkSign looks at a write that takes long: its server is probed, and taken for silent where it does
 // not answer. Then a request that may be repeated goes to another writer, while its state may still be
 // taken; one that may not waits, but others are not sent there. Guards the pin limit without giving
@@ -98,7 +102,7 @@
 	if a == nil {
 		return
 	}
-	inReach := a.server.heard >= a.at
+	inReach := a.inReach()
 	if inReach && a.verified {
 		return // it waits there
 	}
--- a/decide/heldstate_test.go
+++ b/decide/heldstate_test.go
@@ -144,6 +144,20 @@
 	}
 }
 
+// A verified write keeps its state only where its server has answered for some time after it was sent: the silence may have
+// begun between an earlier answer and the write.
+func TestAnEarlyAnswerDoesNotKeepAState(t *testing.T) {
+	for at, kept := range map[time.Duration]bool{10 * ms: false, confirmWait: true} {
+		r, f := pinned(t, Unsafe, nil)
+		r.Verified(101*ms, 1, 1)
+		f.follow(r, 1, 100*ms+at)
+		r.Probed(r.now, Probed{Server: f.last(), Queue: -1, Tokens: -1})
+		if f.follow(r, 1, 401*ms); f.has("release 1") == kept {
+			t.Errorf("answered %v after the write: %v", at, f.did)
+		}
+	}
+}
+
 // Once the state has been let go without a sign of its writer, it is read again, if a write can follow.
 func TestAStateThatWasLetGoIsReadAgain(t *testing.T) {
 	for most, want := range map[int]string{0: "r", 4: "r", 3: "end"} {
