--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -158,6 +158,9 @@
 	command := exec.Command(d.programs.Worker[0], d.programs.Worker[1:]...)
 	command.Env = append(os.Environ(), envLedger+"="+d.ledger.listener.Addr().String(), envHost+"="+w.host, envKind+"="+w.kind,
 		fmt.Sprint(envIncarnation, "=", incarnation))
+	if _, err := command.StdinPipe(); err != nil { // held open for as long as this process runs
+		return err
+	}
 	out, err := command.StdoutPipe()
 	if err != nil {
 		return err
--- a/internal/scale/soak/worker.go
+++ b/internal/scale/soak/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/rpc"
 	"os"
 	"strconv"
@@ -83,5 +84,6 @@
 		return err
 	}
 	fmt.Println(fleet.Hosts()[0].Dial)
-	select {}
+	_, err = io.Copy(io.Discard, os.Stdin) // until the run's own process is gone
+	return err
 }
