A verified write goes out at once: the wait for a late second answer is before the call

Change: behind a call without a body there is no such wait; a second answer to such a call is no stream and turns nothing away, so that nothing is taken for the write's but as spoilt.

--- a/internal/httpfront/answers.go
+++ b/internal/httpfront/answers.go
@@ -45,17 +45,18 @@
 // workerConn is one connection to a worker.
 type workerConn struct {
 	net.Conn
-	open  *atomic.Int64
-	done  atomic.Bool
-	asked atomic.Bool                 // a request has been written since the last answer's end
-	may   atomic.Pointer[func() bool] // asked before that is, nil: it may
-	ended atomic.Int64                // when that was, from epoch
-	over  chan struct{}               // closed with the connection
-	bad   atomic.Bool                 // serves no further use
-	hand  atomic.Bool                 // its answer is to go on in another process
-	gift  int                         // the socket for that, once Read has returned errHanded
-	addr  string                      // of its worker
-	known *idleConns                  // it is among these until it is closed
+	open   *atomic.Int64
+	done   atomic.Bool
+	asked  atomic.Bool                 // a request has been written since the last answer's end
+	may    atomic.Pointer[func() bool] // asked before that is, nil: it may
+	ended  atomic.Int64                // when that was, from epoch
+	over   chan struct{}               // closed with the connection
+	bad    atomic.Bool                 // serves no further use
+	called atomic.Bool                 // its latest request was a call without a body, not an attempt
+	hand   atomic.Bool                 // its answer is to go on in another process
+	gift   int                         // the socket for that, once Read has returned errHanded
+	addr   string                      // of its worker
+	known  *idleConns                  // it is among these until it is closed
 
 	serving sync.Mutex
 	serves  *calledOff // the attempt at hand, nil once its answer has ended
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -207,13 +207,16 @@
 			reused.Store(i.Reused)
 			idle.Store(int64(i.IdleTime))
 			if c, ok := i.Conn.(*workerConn); ok {
+				called := c.called.Swap(false)
 				if a.Verify && c.answeredWithin(verifiedFor) {
 					a.Verified()
 				}
 				end.conn.Store(c)
 				c.serve(end)
 				c.may.Store(&a.Allowed)
-				if i.Reused && !a.Read { // a read has no effect, and nothing of its answer passes on
+				// A read has no effect, and nothing of its answer passes on. A second answer to a call without a body is no
+				// stream and turns nothing away, and what was verified must not wait: a silence may begin meanwhile.
+				if i.Reused && !a.Read && !called {
 					c.settle(ctx, w.after)
 				}
 			}
@@ -377,6 +380,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		reused.Store(i.Reused)
 		if c, ok := i.Conn.(*workerConn); ok { // what an attempt that was never written has left there
+			c.called.Store(true)
 			c.may.Store(nil)
 		}
 	}})
