--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -110,11 +111,12 @@
 		}
 	}
 	var all sync.WaitGroup
-	for _, r := range d.routers {
-		all.Go(func() { err = r.start(d.plan.Routers) })
+	failed := make([]error, len(d.routers))
+	for i, r := range d.routers {
+		all.Go(func() { failed[i] = r.start(d.plan.Routers) })
 	}
 	all.Wait()
-	return err
+	return errors.Join(failed...)
 }
 
 func (d *deployment) addRouter(number int) error {
--- a/internal/scale/soak/ledger.go
+++ b/internal/scale/soak/ledger.go
@@ -42,6 +42,7 @@
 	states   map[string]state
 	lives    map[string]int // the latest process of each worker
 	told     map[string]time.Duration
+	begun    map[string]bool // requests whose answer has begun
 	listener net.Listener
 }
 
@@ -57,7 +58,7 @@
 
 // startLedger serves workers' processes.
 func startLedger() (*ledger, error) {
-	l := &ledger{states: make(map[string]state), lives: make(map[string]int), told: make(map[string]time.Duration)}
+	l := &ledger{states: make(map[string]state), lives: make(map[string]int), told: make(map[string]time.Duration), begun: make(map[string]bool)}
 	server := rpc.NewServer()
 	if err := server.Register(&Ledger{l}); err != nil {
 		return nil, err
@@ -85,6 +86,9 @@
 	e := entry{at: time.Now(), id: c.ID, host: c.Host, incarnation: c.Incarnation, left: c.Left}
 	switch c.What {
 	case callHold:
+		if l.begun[c.ID] { // with the first token of the answer all else that is held for its request goes by itself
+			return false
+		}
 		l.states[c.ID] = state{c.Host, c.Incarnation}
 		e.kind = held
 	case callFetch, callRelease:
@@ -105,6 +109,7 @@
 		e.kind = over
 	case callEffect:
 		e.kind = effect
+		l.begun[c.ID] = true
 	default:
 		return false
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -326,6 +326,9 @@
 	case <-ctx.Done():
 		return
 	}
+	if ctx.Err() != nil { // what a read that was called off leaves goes by itself
+		return
+	}
 	if w.fleet.States.Hold(c.id, w.name) {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
