--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -36,6 +36,7 @@
 	TempDir string // removed at the end
 
 	began     time.Time
+	ended     sync.Once
 	mu        sync.Mutex
 	record    *os.File
 	processes []*Router
@@ -90,18 +91,21 @@
 	return err
 }
 
-// exit ends all processes that the case started, and the case.
+// exit ends all processes that the case started, and the case. The first call decides the result: what a case sees while its
+// processes are being ended does not count.
 func (r *Rig) exit(code int, text string) {
-	r.Log("%s", text)
-	fmt.Println(text)
-	r.mu.Lock()
-	processes := r.processes
-	r.mu.Unlock()
-	for _, p := range processes {
-		p.kill()
-	}
-	os.RemoveAll(r.TempDir)
-	os.Exit(code)
+	r.ended.Do(func() {
+		r.Log("%s", text)
+		fmt.Println(text)
+		r.mu.Lock()
+		processes := r.processes
+		r.mu.Unlock()
+		for _, p := range processes {
+			p.kill()
+		}
+		os.RemoveAll(r.TempDir)
+		os.Exit(code)
+	})
 }
 
 // Since returns the time since the case began, by which all entries of the record are dated.
