A process that starts as the oldest one ends no longer takes itself for the only one

Callers saw streams break at a second upgrade: the second process could not hand over what it had taken over ("a stream was not handed on ... .json.3: connect: no such file or directory"), as the third had opened no socket for it.

Cause: Alone asked only for the lock of the oldest process. When that process ends, whoever tries first gets the lock; a third process that starts within the 100 ms until the second one looks again gets it first, takes itself for the only one, takes over no streams and resets who serves. MarkRunning also removed the file of the process before the last although that process may still run.

Now a process is alone if it has that lock and no older process runs; files are removed only of processes that have ended.

TestThirdProcessSeesTheSecond fails on the code before. TestTwoProcessesShareOperatorState let a process die by closing one of its two lock files; it closes both now, as the system does.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -59,7 +59,11 @@
 		}
 		st.Started = max(st.Started, c.number)
 	})
-	if err := c.SharedState.MarkRunning(c.number); err != nil {
+	err := c.SharedState.openProcessLock(c.number)
+	if err == nil {
+		err = c.SharedState.markRunning()
+	}
+	if err != nil {
 		c.Log.Error("can't show other processes of this router that this one runs", "err", err)
 	}
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -81,12 +81,42 @@
 	if _, newer := old.Successor(); newer {
 		t.Error("a process that has died counts as successor")
 	}
-	a.aliveLock.Close()
+	endProcess(a)
 	if !b.Alone() {
 		t.Error("the next process does not notice that it is alone")
 	}
 }
 
+// endProcess releases what the system releases when a process ends.
+func endProcess(s *SharedState) {
+	s.aliveLock.Close()
+	s.processLock.Close()
+}
+
+// Guards against a second upgrade that loses streams: a process that starts while the oldest one ends must not take itself
+// for the only one, although it may get the lock of the oldest before the process between them does.
+func TestThirdProcessSeesTheSecond(t *testing.T) {
+	dir := t.TempDir()
+	start := func() *SharedState {
+		s := openShared(t, dir)
+		newController(s, &fakeRouter{}).Start()
+		return s
+	}
+	first, second := start(), start()
+	endProcess(first)
+	third := start()
+	if third.Alone() {
+		t.Error("the third process takes itself for the only one while the second runs")
+	}
+	if second.IsRunning(1) || !third.IsRunning(2) {
+		t.Error("the first process counts as running, or the second does not")
+	}
+	endProcess(second)
+	if !third.Alone() {
+		t.Error("the third process does not notice that it is alone")
+	}
+}
+
 // Calls take effect in this process even if the shared file can't be read or written.
 func TestCallsTakeEffectWithoutSharedFile(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/operator/sharedstate.go
+++ b/internal/operator/sharedstate.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,7 @@
 	aliveLock   *os.File // locked by the oldest running process
 	mu          sync.Mutex
 	alone       bool
+	number      int                                  // of this process, 0 before openProcessLock
 	processLock *os.File                             // named by this process's number and locked while it runs
 	writeFile   func(path string, text []byte) error // writeDurably; replaced in tests
 }
@@ -71,7 +73,8 @@
 	return fmt.Sprintf("%s.%d", s.path, number)
 }
 
-// Alone reports whether no older process of the router still runs.
+// Alone reports whether no older process of the router still runs. Which process gets the lock of the oldest one when that
+// ends is left to chance, so that having it is not enough.
 func (s *SharedState) Alone() bool {
 	if s.aliveLock == nil {
 		return true
@@ -79,25 +82,68 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.alone { // the system releases the lock when its process ends, however it ends
-		s.alone = syscall.Flock(int(s.aliveLock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil
+		s.alone = syscall.Flock(int(s.aliveLock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil && !s.olderRuns()
 	}
 	return s.alone
 }
 
-// MarkRunning marks the process with this number, this one, as running until it ends.
-func (s *SharedState) MarkRunning(number int) error {
+// olderRuns reports whether a process runs that has an older number than this one, or any number while this one has none.
+func (s *SharedState) olderRuns() bool {
+	for _, number := range s.processNumbers() {
+		if (s.number == 0 || number < s.number) && s.IsRunning(number) {
+			return true
+		}
+	}
+	return false
+}
+
+// openProcessLock opens the file by which other processes see that the process with this number, this one, runs. They see
+// it from markRunning on. It also removes the files of processes that have ended, but not the latest, which may belong to a
+// process that starts at this moment.
+func (s *SharedState) openProcessLock(number int) error {
 	if s.path == "" {
 		return nil
 	}
-	_ = os.Remove(s.processLockPath(number - 2)) // that process has ended
-	file, err := os.OpenFile(s.processLockPath(number), os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return err
+	for _, older := range s.processNumbers() {
+		if older < number-1 && !s.IsRunning(older) {
+			_ = os.Remove(s.processLockPath(older))
+		}
 	}
-	s.processLock = file
-	return syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	s.mu.Lock()
+	s.number = number
+	s.mu.Unlock()
+	var err error
+	s.processLock, err = os.OpenFile(s.processLockPath(number), os.O_CREATE|os.O_RDWR, 0o600)
+	return err
 }
 
+// markRunning marks this process as running until it ends.
+func (s *SharedState) markRunning() error {
+	if s.processLock == nil {
+		return nil
+	}
+	return syscall.Flock(int(s.processLock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+}
+
+// processNumbers returns the numbers of the processes that run or have not been cleaned up after.
+func (s *SharedState) processNumbers() []int {
+	if s.path == "" {
+		return nil
+	}
+	paths, _ := filepath.Glob(globEscaper.Replace(s.path) + ".*.alive")
+	var numbers []int
+	for _, path := range paths {
+		text := strings.TrimSuffix(strings.TrimPrefix(path, s.path+"."), ".alive")
+		if number, err := strconv.Atoi(text); err == nil {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// globEscaper escapes what has a meaning in the patterns of filepath.Glob.
+var globEscaper = strings.NewReplacer(`\`, `\\`, `*`, `\*`, `?`, `\?`, `[`, `\[`)
+
 // IsRunning reports whether the process with this number, which must be another one, still runs.
 func (s *SharedState) IsRunning(number int) bool {
 	if s.path == "" {
