An id that is open in one process of a router is refused by its others

The routers' logs show process 2 log "send ... n=0 why=first attempt" for a txn whose write process 1 has open, and process 1 neither release the id nor send again: of the hypotheses (ids known per process; an id freed at SIGTERM; a repeat by the old process) only the first fits.

Cause: ids of open requests stood in the memory of one process (Core.claimedIDs). A stream that was taken over had no id at all in its new process.

Change: internal/openids. While two processes run, each locks a byte of a shared file for each open id (open file description locks). The system decides between two claims at the same instant, keeps the locks of a process that stands still and drops those of one that dies. A process that runs alone keeps its ids in memory and makes no system call. A new process serves only once the older ones have published their ids, which takes them 100 ms; where that does not come (the other one stands still, is of the version before, or the shared folder has failed) it refuses requests that must not run twice, with 503 and Retry-After. A stream that is handed over takes its id along, without a gap: the old process turns its lock into a read lock, the new one adds its own before it confirms. The same holds for gRPC, ext_proc and the decision service, which claim ids in the same registry.

On the code before TestOpenIDIsRefusedThroughoutUpgrades and TestOpenIDIsRefusedWithoutSharedFolder fail with status 200 for an open id. TestClaim follows the new signature of ClaimID and checks the same.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -84,6 +84,7 @@
 	}
 	p.takeOverStreams()
 	awaitDiscovery(ctx, p.discovery.FirstListReceived(), p.shared.Alone(), p.log)
+	p.control.AwaitOpenIDs(ctx)
 	if ctx.Err() != nil { // no front is open and no other process relies on this one
 		p.core.Guard.Stopped(invariant.Starting, "told to end before it served")
 		return nil
--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"runtime"
+	"strings"
 	"sync/atomic"
 
 	"google.golang.org/grpc"
@@ -218,7 +219,8 @@
 	if p.shared, err = operator.Open(os.Getenv("TMPDIR"), p.config.Name); err != nil {
 		p.log.Error("can't share state with other processes of this router", "err", err)
 	}
-	p.control = &operator.Controller{SharedState: p.shared, Router: p.core, Standby: p.front.Standby, Serving: p.serving.Load, Log: p.log}
+	p.control = &operator.Controller{SharedState: p.shared, Identity: p.identity(), Router: p.core, Standby: p.front.Standby,
+		Serving: p.serving.Load, OpenIDs: p.core.OpenIDs, Log: p.log}
 	p.control.Start()
 	if !p.shared.Alone() {
 		p.restoreLearned()
@@ -227,6 +229,15 @@
 	go p.budget.followOverlap(ctx, p.control, p.log)
 }
 
+// identity returns what processes of this router have in common and those of other routers don't. It is empty if no other
+// process can serve at this one's address, as the system chooses a free port.
+func (p *process) identity() string {
+	if _, port, err := net.SplitHostPort(p.config.Listen); err != nil || port == "0" {
+		return ""
+	}
+	return strings.Join([]string{p.config.Name, p.config.Listen, os.Getenv("TMPDIR")}, "\n")
+}
+
 // restoreLearned loads the state that the older process has learned.
 func (p *process) restoreLearned() {
 	var learned decide.Estimates
--- /dev/null
+++ b/cmd/rowanyard/upgrade_test.go
@@ -0,0 +1,181 @@
+package main
+
+// Upgrades with real processes: what one process of a router knows while another serves at the same address.
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"rowanyard/internal/standin"
+)
+
+// upgradeRig is a deployment whose router is upgraded.
+type upgradeRig struct {
+	*standin.Fleet
+	t        *testing.T
+	address  string // of the router
+	deadline time.Duration
+	resume   bool // clients request the rest of a stream that broke
+}
+
+// newUpgradeRig returns a rig whose classes have the given deadline.
+func newUpgradeRig(t *testing.T, o standin.Options, deadline time.Duration, resume bool) *upgradeRig {
+	t.Helper()
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return &upgradeRig{fleet, t, l.Addr().String(), deadline, resume}
+}
+
+// start starts a process of the router, with the contents of an operator's file if that is not empty, and waits until it
+// serves.
+func (r *upgradeRig) start(operator string) *program {
+	r.t.Helper()
+	p := startProgram(r.t, r.config(), operator)
+	p.http = "http://" + p.waitLog(r.t, `msg=serving .*front=http listen=(\S+)`)
+	return p
+}
+
+// config returns the platform's configuration file.
+func (r *upgradeRig) config() []byte {
+	type object = map[string]any
+	var config object
+	if err := json.Unmarshal(r.Config(r.address), &config); err != nil {
+		r.t.Fatal(err)
+	}
+	settings := config["settings"].(object)
+	settings["domain"].(object)["resume"] = r.resume
+	for _, class := range settings["request_classes"].([]any) {
+		class := class.(object)
+		class["hard_limit"] = r.deadline.Microseconds()
+		class["target"] = min(class["target"].(float64), float64(r.deadline.Microseconds()))
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return text
+}
+
+// send sends a request on a connection of its own. The answer's body must be closed.
+func (r *upgradeRig) send(p *program, id, class string) *http.Response {
+	r.t.Helper()
+	q := newRequest(p, id, class)
+	q.Close = true
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		r.t.Fatal(id, err)
+	}
+	return res
+}
+
+// checkRefused sends the id of an open request on enough connections that each process that accepts gets some of them. None
+// may be served.
+func (r *upgradeRig) checkRefused(when string, p *program, id string, want ...int) {
+	r.t.Helper()
+	const connections = 12
+	for range connections {
+		res := r.send(p, id, "send-message")
+		res.Body.Close()
+		isWanted := false
+		for _, status := range want {
+			isWanted = isWanted || res.StatusCode == status
+		}
+		if !isWanted {
+			r.t.Fatalf("%s: status %d for an open id, want one of %v", when, res.StatusCode, want)
+		}
+		if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") == "" {
+			r.t.Errorf("%s: refused without Retry-After", when)
+		}
+	}
+}
+
+// checkStream reads a stream to its end and checks that it is complete and that its write has run once.
+func (r *upgradeRig) checkStream(res *http.Response, id string) {
+	r.t.Helper()
+	text, err := io.ReadAll(res.Body)
+	res.Body.Close()
+	const (
+		usageAndEnd = 2   // events behind the tokens
+		endShown    = 100 // bytes, in a failure
+	)
+	if err != nil || strings.Count(string(text), "data: ") != r.Tokens+usageAndEnd || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		r.t.Errorf("%s: %v after %d of %d events: %q", id, err, strings.Count(string(text), "data: "), r.Tokens+usageAndEnd, text[max(0, len(text)-endShown):])
+	}
+	if effects, reads := r.Effects()["send-message "+id], r.Calls("read", id); effects != 1 || reads != 1 {
+		r.t.Errorf("%s has run %d times and was read %d times", id, effects, reads)
+	}
+}
+
+// Guards against a send-message that runs twice: an id that is open in one process of an upgrade must be refused by each other
+// one, while both accept, after SIGTERM, once its stream was handed over, and at a second upgrade.
+func TestOpenIDIsRefusedThroughoutUpgrades(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: 160, TokenInterval: 50 * time.Millisecond}, 15*time.Second, true)
+	first := r.start("")
+	stream := r.send(first, "a", "send-message")
+	second := r.start("")
+	r.checkRefused("both processes accept", second, "a", http.StatusConflict)
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	first.waitLog(t, `msg=draining .*handed_on=(true)`)
+	r.checkRefused("after SIGTERM", second, "a", http.StatusConflict)
+	first.waitLog(t, "msg=(ended)")
+	r.checkRefused("handed over", second, "a", http.StatusConflict)
+	third := r.start("")
+	r.checkRefused("handed over, and both processes accept", third, "a", http.StatusConflict)
+	second.cmd.Process.Signal(syscall.SIGTERM)
+	second.waitLog(t, "msg=(ended)")
+	r.checkRefused("handed over twice", third, "a", http.StatusConflict)
+	r.checkStream(stream, "a")
+	res := r.send(third, "a", "draft-reply")
+	res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Errorf("status %d for an id that is free again", res.StatusCode)
+	}
+}
+
+// Guards against a send-message that runs twice where the shared folder has failed: the newer process can't know which ids the
+// older one has open, and refuses what must not run twice until that one has ended.
+func TestOpenIDIsRefusedWithoutSharedFolder(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: 40, TokenInterval: 50 * time.Millisecond}, 15*time.Second, true)
+	first := r.start("")
+	stream := r.send(first, "a", "send-message")
+	folder := os.Getenv("TMPDIR")
+	if err := os.Rename(folder, folder+".away"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(folder, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	second := startProgram(t, r.config(), "")
+	second.waitLog(t, `level=ERROR msg="(can't share state with other processes of this router)"`)
+	second.http = "http://" + second.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	r.checkRefused("both processes accept", second, "a", http.StatusConflict, http.StatusServiceUnavailable)
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	first.waitLog(t, `msg=(draining)`)
+	r.checkRefused("after SIGTERM", second, "a", http.StatusConflict, http.StatusServiceUnavailable)
+	r.checkStream(stream, "a")
+	first.waitLog(t, "msg=(ended)")
+	second.waitLog(t, `msg="open requests of other processes" .*all_known=(true)`)
+	stream = r.send(second, "b", "send-message")
+	r.checkStream(stream, "b")
+	os.Remove(folder)
+	if err := os.Rename(folder+".away", folder); err != nil { // removed after the test
+		t.Fatal(filepath.Base(folder), err)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	"rowanyard/decide"
 	"rowanyard/internal/inflight"
 	"rowanyard/internal/invariant"
+	"rowanyard/internal/openids"
 )
 
 // Worker is an entry of the worker list: the decision module's view of the worker, and how a Transport reaches it.
@@ -120,7 +121,6 @@
 	workers       map[string]Worker // the listed workers, by id
 	workerStarts  *startTimes       // when they started
 	requests      map[decide.RequestID]*activeRequest
-	claimedIDs    map[string]bool      // ids that clients gave to their open requests
 	lastContact   map[string]time.Time // when listed workers last answered; no entry where the latest call went unanswered
 	inMaintenance map[string]bool      // workers that operators have put into maintenance, listed or not
 	lastID        decide.RequestID
@@ -129,6 +129,8 @@
 
 	// Guard counts violated invariants, and steps that were stopped in time.
 	Guard invariant.Guard
+	// OpenIDs holds the ids that clients gave to their open requests.
+	OpenIDs *openids.Registry
 
 	// OnAvailabilityChange is called with the workers that have begun or ceased to accept new work, after each change.
 	// Calls for concurrent changes may come in either order: AcceptsWork returns the current state. Set before use.
@@ -169,7 +171,7 @@
 func New(settings decide.Settings, seed uint64, prober Prober, log *slog.Logger) (*Core, error) {
 	c := &Core{prober: prober, log: log, start: time.Now(), workerStarts: newStartTimes(),
 		workers: make(map[string]Worker), lastContact: make(map[string]time.Time),
-		requests: make(map[decide.RequestID]*activeRequest), claimedIDs: make(map[string]bool)}
+		requests: make(map[decide.RequestID]*activeRequest), OpenIDs: openids.New(log)}
 	c.Guard.Log = log
 	settings.PinSlack = writeArrivalSlack
 	r, err := decide.New(settings, seed, (*executor)(c))
@@ -200,16 +202,11 @@
 	return err
 }
 
-// ClaimID reserves the id that a client gave to its request until free is called. It fails if an open request has the id
-// already: a second one would share the state that workers hold for the first.
-func (c *Core) ClaimID(id string) (free func(), ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.claimedIDs[id] {
-		return nil, false
-	}
-	c.claimedIDs[id] = true
-	return func() { c.mu.Lock(); delete(c.claimedIDs, id); c.mu.Unlock() }, true
+// ClaimID reserves the id that a client gave to its request of a class until release is called. It fails with
+// openids.ErrOpen if an open request has the id already, and with openids.ErrUnknown if that can't be told: then the
+// request must be refused.
+func (c *Core) ClaimID(id string, class int) (release func(), err error) {
+	return c.OpenIDs.Claim(id, isUnsafe(c.Settings(), class))
 }
 
 // BusyRetryAfter returns when a client that a front has no room for may try again, 0 where no advice may be given.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rowanyard/decide"
+	"rowanyard/internal/openids"
 )
 
 // scriptedTransport is a Transport and a Prober whose attempts end as the test's try function says.
@@ -275,13 +276,13 @@
 // An id that an open request has can't be claimed again until it is freed.
 func TestClaim(t *testing.T) {
 	c := newTestCore(t, &scriptedTransport{})
-	free, ok := c.ClaimID("a")
-	if _, twice := c.ClaimID("a"); !ok || twice {
-		t.Errorf("claimed: %v, claimed again: %v, want true and false", ok, twice)
+	release, err := c.ClaimID("a", 0)
+	if _, twice := c.ClaimID("a", 0); err != nil || !errors.Is(twice, openids.ErrOpen) {
+		t.Errorf("claimed: %v, claimed again: %v, want nil and %v", err, twice, openids.ErrOpen)
 	}
-	free()
-	if _, ok := c.ClaimID("a"); !ok {
-		t.Error("an id that was freed can't be claimed again")
+	release()
+	if _, err := c.ClaimID("a", 0); err != nil {
+		t.Errorf("an id that was freed can't be claimed again: %v", err)
 	}
 }
 
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -69,9 +69,12 @@
 }
 
 // isUnsafe reports whether the request must not run twice.
-func (req *activeRequest) isUnsafe() bool {
-	classes := req.settings.Classes
-	return req.Class >= 0 && req.Class < len(classes) && classes[req.Class].Effect == decide.Unsafe
+func (req *activeRequest) isUnsafe() bool { return isUnsafe(req.settings, req.Class) }
+
+// isUnsafe reports whether requests of a class must not run twice.
+func isUnsafe(settings *decide.Settings, class int) bool {
+	classes := settings.Classes
+	return class >= 0 && class < len(classes) && classes[class].Effect == decide.Unsafe
 }
 
 // mayHaveRun reports whether a write that ended with status may have taken effect.
--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -24,6 +24,7 @@
 	"rowanyard/internal/core"
 	"rowanyard/internal/grant"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/openids"
 )
 
 const (
@@ -266,9 +267,13 @@
 
 // begin registers a request and starts to serve it in the core.
 func (d *Coordinator) begin(a ChooseCall) (*delegation, error) {
-	releaseID, ok := d.core.ClaimID(a.Request)
-	if !ok {
-		return nil, fmt.Errorf("%w: it is open at another front", grant.ErrOtherCaller)
+	releaseID, err := d.core.ClaimID(a.Request, a.Class)
+	switch {
+	case errors.Is(err, openids.ErrOpen):
+		return nil, fmt.Errorf("%w: it %w, at another front or in another process", grant.ErrOtherCaller, err)
+	case err != nil:
+		d.log.Info("refused", "why", err, "txn", a.Request)
+		return nil, &Refused{d.core.BusyRetryAfter()}
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &delegation{id: a.Request, caller: a.Caller, readHere: a.ReadHere, singleWrite: a.SingleWrite, outcome: make(chan error, 1), cancel: cancel, releaseID: releaseID,
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,6 +23,7 @@
 	"rowanyard/internal/core"
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/openids"
 )
 
 const (
@@ -94,9 +96,13 @@
 		s.log.Info("bad request", "err", err)
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	releaseID, ok := s.core.ClaimID(req.Id)
-	if !ok { // the earlier request with this id is not affected
-		return status.Errorf(codes.AlreadyExists, "id: %q is open already", req.Id)
+	releaseID, err := s.core.ClaimID(req.Id, q.Class)
+	switch {
+	case errors.Is(err, openids.ErrOpen): // the earlier request with this id is not affected
+		return status.Errorf(codes.AlreadyExists, "id: %q %v", req.Id, err)
+	case err != nil:
+		s.log.Info("refused", "why", err, "txn", req.Id)
+		return refusal(codes.Unavailable, "refused, nothing has run: the id "+err.Error(), s.core.BusyRetryAfter())
 	}
 	defer releaseID()
 	q.CachedTokens = s.core.CachedTokens(func() (text []byte) {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -28,6 +28,7 @@
 
 	"rowanyard/decide"
 	"rowanyard/internal/core"
+	"rowanyard/internal/openids"
 )
 
 const (
@@ -150,9 +151,7 @@
 	reservation, ok := f.reserveBody(r.ContentLength)
 	defer reservation.release()
 	if !ok {
-		f.log.Info("refused", "why", "too many bodies are held", "txn", r.Header.Get(headerTxn))
-		setRetryAfter(w.Header(), f.core.BusyRetryAfter())
-		w.WriteHeader(http.StatusServiceUnavailable)
+		f.refuse(w, r.Header.Get(headerTxn), "too many bodies are held")
 		return
 	}
 	body, status, err := readBody(w, r)
@@ -166,25 +165,44 @@
 	if err == nil {
 		q, status, err = f.classes.Parse(r.Header, body)
 	}
-	if err == nil {
-		id := r.Header.Get(headerTxn)
-		if release, ok := f.core.ClaimID(id); ok {
-			defer release()
-		} else { // the first request with this id is not affected
-			status, err = http.StatusConflict, fmt.Errorf("%s: %q is open already", headerTxn, id)
-		}
-	}
 	if err != nil {
-		f.log.Info("bad request", "status", status, "err", err)
-		http.Error(w, err.Error(), status)
+		f.rejectRequest(w, status, err)
 		return
 	}
 	q.Label = r.Header.Get(headerTxn)
+	releaseID, err := f.core.ClaimID(q.Label, q.Class)
+	if err != nil {
+		f.rejectID(w, q.Label, err)
+		return
+	}
+	defer releaseID()
 	q.TimeLeft = max(0, q.TimeLeft-timeSinceArrival(r.Context()))
 	q.CachedTokens = f.core.CachedTokens(func() []byte { return Prompt(body) })
 	f.forward(w, r, q, body, reservation)
 }
 
+// refuse answers a request of which nothing was sent to a worker with 503.
+func (f *Front) refuse(w http.ResponseWriter, id, why string) {
+	f.log.Info("refused", "why", why, "txn", id)
+	setRetryAfter(w.Header(), f.core.BusyRetryAfter())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// rejectRequest answers a request that its client must not send again as it is.
+func (f *Front) rejectRequest(w http.ResponseWriter, status int, err error) {
+	f.log.Info("bad request", "status", status, "err", err)
+	http.Error(w, err.Error(), status)
+}
+
+// rejectID answers a request whose id could not be claimed. An open request with this id is not affected.
+func (f *Front) rejectID(w http.ResponseWriter, id string, err error) {
+	if errors.Is(err, openids.ErrOpen) {
+		f.rejectRequest(w, http.StatusConflict, fmt.Errorf("%s: %q %w", headerTxn, id, err))
+		return
+	}
+	f.refuse(w, id, "its id "+err.Error())
+}
+
 // forward passes a parsed request to the core and relays the answer to the client.
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, q decide.Request, body []byte, reservation *bodyReservation) {
 	x := &Exchange{Workers: f.workers, Method: r.Method, URI: r.URL.RequestURI(), Head: r.Header, Body: body}
@@ -258,7 +276,8 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{Stream: s, onEnd: a.StreamEnded, client: parsed.client, writeTimeout: t.front.writeTimeout, cutCtx: t.front.cutCtx, successorPath: &t.front.successorPath, log: t.front.log}
+		res.Body = &relay{Stream: s, onEnd: a.StreamEnded, client: parsed.client, writeTimeout: t.front.writeTimeout, cutCtx: t.front.cutCtx,
+			successorPath: &t.front.successorPath, id: parsed.q.Label, ids: t.front.core.OpenIDs, log: t.front.log}
 		if out.ProtoAtLeast(1, 1) {
 			res.Body.(*relay).conn = conn
 		}
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -19,6 +19,7 @@
 
 	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/inflight"
+	"rowanyard/internal/openids"
 )
 
 const (
@@ -39,6 +40,7 @@
 	Fine   bool       `json:"fine"`   // its field name is a valid one
 	Note   bool       `json:"note"`   // it is a comment
 	Behind int        `json:"behind"` // requests that were read behind the one being answered
+	ID     string     `json:"id"`     // the request's id; empty from a process of an older version
 }
 
 // streamPositionOf returns the position that the scanners of a stream have reached.
@@ -103,6 +105,7 @@
 // Front.ReceiveStreams.
 type StreamReceiver struct {
 	listener   *net.UnixListener
+	ids        *openids.Registry
 	log        *slog.Logger
 	retryAfter string          // the Retry-After line of refusals, may be empty
 	cutCtx     context.Context // once it is done the streams are handed over to the next process
@@ -127,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	h := &StreamReceiver{listener: listener, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx, next: &f.successorPath}
+	h := &StreamReceiver{listener: listener, ids: f.core.OpenIDs, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx, next: &f.successorPath}
 	f.mu.Lock()
 	f.receiver = h
 	f.mu.Unlock()
@@ -186,9 +189,13 @@
 		err = fmt.Errorf("received %d sockets of %d", len(conns), handOverSockets)
 	}
 	if err == nil {
-		_, err = c.Write([]byte("+"))
+		s.id, s.releaseID = position.ID, h.adoptID(position.ID)
+		_, err = c.Write([]byte("+")) // from now on the older process may release the id
 	}
 	if err != nil {
+		if s.releaseID != nil {
+			s.releaseID()
+		}
 		for _, conn := range conns {
 			conn.Close()
 		}
@@ -199,14 +206,25 @@
 	h.running.Begin()
 	go func() {
 		defer h.running.End()
+		defer s.releaseID()
 		s.run()
 	}()
 	return nil
 }
 
+// adoptID reserves the id of a stream that is received until release is called.
+func (h *StreamReceiver) adoptID(id string) (release func()) {
+	if !ValidID(id) {
+		return func() {}
+	}
+	return h.ids.Adopt(id)
+}
+
 // receivedStream relays the rest of a stream that an older process began.
 type receivedStream struct {
 	receiver       *StreamReceiver
+	id             string // of the request, empty if it is not known
+	releaseID      func()
 	client, worker net.Conn
 	chunk          chunkScanner
 	events         eventScanner
@@ -299,7 +317,8 @@
 		if worker, err = dup(s.worker); err == nil {
 			defer syscall.Close(worker)
 			position := streamPositionOf(s.chunk, s.events)
-			position.Behind = int(s.pipelined.Load())
+			position.Behind, position.ID = int(s.pipelined.Load()), s.id
+			s.receiver.ids.PrepareHandOver(s.id)
 			err = handOverStream(path, position, client, worker)
 		}
 	}
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"rowanyard/decide"
+	"rowanyard/internal/openids"
 )
 
 const (
@@ -40,7 +41,9 @@
 	cut           atomic.Bool
 	successorPath *successor
 	conn          *clientConn // nil if the answer is not chunked
-	handedOver    bool        // the next Read returns errHandedOver
+	id            string      // of the request
+	ids           *openids.Registry
+	handedOver    bool // the next Read returns errHandedOver
 	log           *slog.Logger
 }
 
@@ -92,7 +95,8 @@
 	if err == nil {
 		defer syscall.Close(client)
 		position := streamPositionOf(s.conn.chunks, s.events)
-		position.Behind = int(r.conn.pipelined.Load())
+		position.Behind, position.ID = int(r.conn.pipelined.Load()), r.id
+		r.ids.PrepareHandOver(r.id)
 		err = handOverStream(r.successorPath.get(), position, client, s.conn.handOverFD)
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/openids/registry.go
@@ -0,0 +1,232 @@
+// Package openids records the ids of a router's open requests, so that no second request is served under an id that is
+// open. While several processes of one router run, as during an upgrade, an id is open in all of them.
+//
+// The processes share a lock file and nothing else. While a process runs alone it keeps its ids in memory, without a system
+// call. When another process appears, it publishes them: it locks a byte of the file for each id. From then on a claim in
+// either process fails if the other has the id. A new process must not rely on this before the older ones have published
+// their ids, see Registry.Certain. Where it can't rely on it, as the other process stands still, is of an older version, or
+// can't use the file, requests that must not run twice are refused.
+package openids
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+)
+
+// Errors of Claim.
+var (
+	ErrOpen    = errors.New("is open already")
+	ErrUnknown = errors.New("may be open in another process of this router")
+)
+
+// Registry holds the ids of the open requests of one process. Its methods may be called from several goroutines.
+type Registry struct {
+	log *slog.Logger
+
+	mu         sync.Mutex
+	open       map[string]*claim
+	file       *lockFile    // nil: no other process is told of the ids
+	mark       *processMark // nil: none is needed, or none can be had
+	publishing bool         // ids are locked in the file
+	unknown    bool         // another process may have ids open that can't be seen
+	checkMarks bool         // a process that runs may have failed to join
+}
+
+// claim is the entry of an open id.
+type claim struct{ locked bool } // in the file
+
+// New returns a Registry that is not shared with other processes.
+func New(log *slog.Logger) *Registry {
+	return &Registry{log: log, open: make(map[string]*claim)}
+}
+
+// Join shares the ids with other processes that call Join with the same path, for as long as this one runs. number is that
+// of this process among them. With an empty path, or after an error, nothing is shared, and the Registry only recognizes
+// that older processes with the same identity run, unless that is empty. Join must be called before the first claim, and
+// followed by Refresh.
+func (r *Registry) Join(path, identity string, number int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if identity != "" {
+		var err error
+		if r.mark, err = setProcessMark(identity); err != nil {
+			r.log.Warn("a process that can't use the shared folder will not see that this one runs", "err", err)
+		}
+	}
+	r.checkMarks = r.mark != nil
+	if path == "" {
+		return nil
+	}
+	file, err := openLockFile(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(file.readLock(runningByte), file.readLock(firstNumberByte+int64(number))); err != nil {
+		return errors.Join(err, file.close())
+	}
+	r.file, r.publishing = file, true
+	return nil
+}
+
+// Shares reports whether the process with this number, which must be another one, shares its ids.
+func (r *Registry) Shares(number int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.file == nil {
+		return false
+	}
+	shares, err := r.file.lockedByOther(firstNumberByte + int64(number))
+	return shares && err == nil
+}
+
+// Refresh adapts to the processes that run now: it publishes the open ids once another process runs, and stops publishing
+// new ones when no other does. hiddenRuns reports that a process runs that does not share its ids. Refresh must be called
+// regularly.
+func (r *Registry) Refresh(hiddenRuns bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	othersRun, err := r.refreshPublishing()
+	if err == nil && othersRun {
+		var unpublished bool
+		unpublished, err = r.file.lockedByOther(unpublishedByte)
+		hiddenRuns = hiddenRuns || unpublished
+	}
+	// A process that starts later and can't share its ids recognizes this one by its mark, so that the marks of others
+	// matter only until there are none.
+	if r.checkMarks && !othersRun {
+		r.checkMarks = r.mark.othersRun()
+		hiddenRuns = hiddenRuns || r.checkMarks
+	}
+	r.setUnknown(hiddenRuns || err != nil, err)
+}
+
+// refreshPublishing reports whether other processes run that share their ids, and publishes the ids of this one if so. A
+// process marks itself as unpublished before it looks for others, and a new process marks itself as running before it looks
+// for unpublished ones, so that they can't miss each other.
+func (r *Registry) refreshPublishing() (othersRun bool, err error) {
+	if r.file == nil {
+		return false, nil
+	}
+	if othersRun, err = r.file.lockedByOther(runningByte); err != nil || othersRun == r.publishing {
+		return othersRun, err
+	}
+	if !othersRun {
+		if err := r.file.readLock(unpublishedByte); err != nil {
+			return false, err
+		}
+		if othersRun, err = r.file.lockedByOther(runningByte); err != nil || othersRun {
+			return othersRun, errors.Join(err, r.file.unlock(unpublishedByte))
+		}
+		r.publishing = false
+		r.log.Debug("ids of open requests are kept in this process only")
+		return false, nil
+	}
+	for id, c := range r.open {
+		if !c.locked {
+			r.lock(id, c)
+		}
+	}
+	r.publishing = true
+	r.log.Info("ids of open requests are shared with another process", "open", len(r.open))
+	return true, r.file.unlock(unpublishedByte)
+}
+
+// lock publishes an id that was claimed while it was not published.
+func (r *Registry) lock(id string, c *claim) {
+	if err := r.file.writeLock(idByte(id)); err != nil {
+		r.log.Warn("an open id can't be shared with another process", "txn", id, "err", err)
+		return
+	}
+	c.locked = true
+}
+
+// setUnknown records whether another process may have ids open that can't be seen.
+func (r *Registry) setUnknown(unknown bool, err error) {
+	if unknown == r.unknown {
+		return
+	}
+	r.unknown = unknown
+	r.log.Info("open requests of other processes", "all_known", !unknown, "err", err)
+}
+
+// Certain reports whether the open ids of all other processes are known.
+func (r *Registry) Certain() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.unknown
+}
+
+// Claim reserves the id of a request until release is called. It fails with ErrOpen if an open request has the id, in this
+// process or another, as a second one would share the state that workers hold for the first. Where it is not known whether
+// another process has the id, it fails with ErrUnknown if the request is unsafe: must not run twice.
+func (r *Registry) Claim(id string, unsafe bool) (release func(), err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[id] != nil {
+		return nil, ErrOpen
+	}
+	if unsafe && r.unknown {
+		return nil, ErrUnknown
+	}
+	c := &claim{}
+	if r.publishing {
+		switch err := r.file.writeLock(idByte(id)); {
+		case errors.Is(err, errLocked):
+			return nil, ErrOpen
+		case err != nil && unsafe:
+			return nil, errors.Join(ErrUnknown, err)
+		default:
+			c.locked = err == nil
+		}
+	}
+	r.open[id] = c
+	return func() { r.release(id, c) }, nil
+}
+
+func (r *Registry) release(id string, c *claim) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[id] != c {
+		return
+	}
+	delete(r.open, id)
+	if !c.locked {
+		return
+	}
+	if err := r.file.unlock(idByte(id)); err != nil {
+		r.log.Error("an id stays reserved until this process ends", "txn", id, "err", err)
+	}
+}
+
+// PrepareHandOver lets another process adopt an open id. Until this process releases it nobody else can claim it.
+func (r *Registry) PrepareHandOver(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.open[id]
+	if c == nil || !c.locked {
+		return
+	}
+	if err := r.file.readLock(idByte(id)); err != nil {
+		r.log.Warn("an open id can't be handed over", "txn", id, "err", err)
+	}
+}
+
+// Adopt reserves an id whose request another process hands over, until release is called. The other process has called
+// PrepareHandOver and releases its own claim later, so that the id is reserved without a gap.
+func (r *Registry) Adopt(id string) (release func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[id] != nil { // possible only beside a process that does not share its ids
+		return func() {}
+	}
+	c := &claim{}
+	r.open[id] = c
+	if r.file != nil {
+		err := r.file.readLock(idByte(id))
+		if c.locked = err == nil; err != nil {
+			r.log.Warn("an id that was handed over can't be shared with another process", "txn", id, "err", err)
+		}
+	}
+	return func() { r.release(id, c) }
+}
--- /dev/null
+++ b/internal/openids/registry_test.go
@@ -0,0 +1,282 @@
+package openids
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// process is a Registry as a process of the router "r" has it.
+type process struct{ *Registry }
+
+// start starts a process that shares the file at path, if that is not empty.
+func start(t *testing.T, path string, number int) process {
+	t.Helper()
+	p := process{New(slog.New(slog.DiscardHandler))}
+	if err := p.Join(path, "r "+t.Name(), number); err != nil {
+		t.Fatal(err)
+	}
+	p.Refresh(false)
+	t.Cleanup(p.end)
+	return p
+}
+
+// end releases what the system releases when a process ends, however it ends.
+func (p process) end() {
+	if p.file != nil {
+		_ = p.file.close()
+	}
+	if p.mark != nil {
+		_ = p.mark.close()
+	}
+}
+
+// checkClaim claims an id for a request that must not run twice and releases it again.
+func (p process) checkClaim(t *testing.T, when, id string, want error) {
+	t.Helper()
+	release, err := p.Claim(id, true)
+	if !errors.Is(err, want) || want == nil && err != nil {
+		t.Errorf("%s: claim of %s: %v, want %v", when, id, err, want)
+	}
+	if err == nil {
+		release()
+	}
+}
+
+func lockPath(t *testing.T) string { return filepath.Join(t.TempDir(), "ids") }
+
+// An id that is open in one process must not be served in another, whichever of them began first.
+func TestIDIsOpenInAllProcesses(t *testing.T) {
+	path := lockPath(t)
+	older := start(t, path, 1)
+	releaseFirst, err := older.Claim("first", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := start(t, path, 2)
+	older.Refresh(false)
+	newer.Refresh(false)
+	releaseSecond, err := newer.Claim("second", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer.checkClaim(t, "open in the older process", "first", ErrOpen)
+	older.checkClaim(t, "open in the newer process", "second", ErrOpen)
+	newer.checkClaim(t, "not open", "third", nil)
+	older.checkClaim(t, "not open any more", "third", nil)
+	releaseFirst()
+	newer.checkClaim(t, "over in the older process", "first", nil)
+	releaseSecond()
+	older.checkClaim(t, "over in the newer process", "second", nil)
+}
+
+// Of two claims of one id at the same instant in two processes, one succeeds.
+func TestOnlyOneOfTwoSimultaneousClaimsSucceeds(t *testing.T) {
+	path := lockPath(t)
+	older := start(t, path, 1)
+	newer := start(t, path, 2)
+	older.Refresh(false)
+	newer.Refresh(false)
+	for i := range 200 {
+		id := fmt.Sprint("id", i)
+		var succeeded atomic.Int32
+		var both sync.WaitGroup
+		begin := make(chan struct{})
+		for _, p := range []process{older, newer} {
+			both.Go(func() {
+				<-begin
+				if _, err := p.Claim(id, true); err == nil {
+					succeeded.Add(1)
+				}
+			})
+		}
+		close(begin)
+		both.Wait()
+		if succeeded.Load() != 1 {
+			t.Fatalf("%s was claimed %d times", id, succeeded.Load())
+		}
+	}
+}
+
+// While an older process has not published its ids, as it stands still, a newer one can't tell whether an id is open, and
+// refuses what must not run twice.
+func TestUnpublishedIDsAreNotRisked(t *testing.T) {
+	path := lockPath(t)
+	older := start(t, path, 1)
+	if _, err := older.Claim("a", true); err != nil {
+		t.Fatal(err)
+	}
+	newer := start(t, path, 2)
+	newer.Refresh(false)
+	if newer.Certain() {
+		t.Error("certain although the older process has not published its ids")
+	}
+	newer.checkClaim(t, "unpublished", "a", ErrUnknown)
+	newer.checkClaim(t, "unpublished", "b", ErrUnknown)
+	if _, err := newer.Claim("c", false); err != nil {
+		t.Errorf("a request that may run twice: %v", err)
+	}
+	older.Refresh(false)
+	newer.Refresh(false)
+	newer.checkClaim(t, "published", "a", ErrOpen)
+	newer.checkClaim(t, "published", "b", nil)
+	older.end()
+	newer.Refresh(false)
+	newer.checkClaim(t, "the older process died", "a", nil)
+}
+
+// A process that stands still keeps its published ids, and one that dies loses them.
+func TestIDsEndWithTheirProcess(t *testing.T) {
+	path := lockPath(t)
+	older := start(t, path, 1)
+	newer := start(t, path, 2)
+	older.Refresh(false)
+	newer.Refresh(false)
+	if _, err := older.Claim("a", true); err != nil {
+		t.Fatal(err)
+	}
+	newer.Refresh(false)
+	newer.checkClaim(t, "the older process stands still", "a", ErrOpen)
+	older.end()
+	newer.checkClaim(t, "the older process died", "a", nil)
+}
+
+// The id of a request that is handed over is open at every moment, also for a third process.
+func TestHandedOverIDStaysOpen(t *testing.T) {
+	path := lockPath(t)
+	first := start(t, path, 1)
+	second := start(t, path, 2)
+	third := start(t, path, 3)
+	for _, p := range []process{first, second, third} {
+		p.Refresh(false)
+	}
+	releaseFirst, err := first.Claim("a", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(when string) {
+		t.Helper()
+		third.checkClaim(t, when, "a", ErrOpen)
+	}
+	first.PrepareHandOver("a")
+	check("prepared")
+	releaseSecond := second.Adopt("a")
+	check("adopted")
+	second.checkClaim(t, "adopted", "a", ErrOpen)
+	releaseFirst()
+	check("released by the first")
+	first.checkClaim(t, "handed over", "a", ErrOpen)
+	second.PrepareHandOver("a") // a second upgrade
+	releaseThird := third.Adopt("a")
+	releaseSecond()
+	check("handed over twice")
+	second.checkClaim(t, "handed over twice", "a", ErrOpen)
+	releaseThird()
+	second.checkClaim(t, "over", "a", nil)
+}
+
+// Beside an older process that it shares no folder with, a process refuses what must not run twice until that one ends. The
+// older one needs no help, as the newer one refuses.
+func TestProcessesWithoutSharedFolder(t *testing.T) {
+	older := start(t, "", 1)
+	newer := start(t, "", 2)
+	newer.checkClaim(t, "no folder", "a", ErrUnknown)
+	older.Refresh(false)
+	older.checkClaim(t, "no folder", "a", nil)
+	older.end()
+	newer.Refresh(false)
+	newer.checkClaim(t, "the older process ended", "a", nil)
+
+	withFolder := start(t, lockPath(t), 3)
+	withFolder.checkClaim(t, "only the newer process has the folder", "a", ErrUnknown)
+	newer.end()
+	withFolder.Refresh(false)
+	withFolder.checkClaim(t, "the process without the folder ended", "a", nil)
+}
+
+// Beside a process of an older version, which shares nothing, what must not run twice is refused.
+func TestHiddenProcess(t *testing.T) {
+	p := start(t, lockPath(t), 1)
+	p.Refresh(true)
+	p.checkClaim(t, "a hidden process runs", "a", ErrUnknown)
+	p.Refresh(false)
+	p.checkClaim(t, "no hidden process runs", "a", nil)
+}
+
+// A process that runs alone locks nothing for its requests: it makes no system call for them.
+func TestProcessThatRunsAloneLocksNoIDs(t *testing.T) {
+	path := lockPath(t)
+	check := func(when string, p process, want bool) {
+		t.Helper()
+		release, err := p.Claim("a", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer release()
+		file, err := openLockFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer file.close()
+		if locked, err := file.lockedByOther(idByte("a")); locked != want || err != nil {
+			t.Errorf("%s: locked %v, %v, want %v", when, locked, err, want)
+		}
+	}
+	p := start(t, path, 1)
+	check("alone", p, false)
+	newer := start(t, path, 2)
+	p.Refresh(false)
+	check("beside another process", p, true)
+	newer.end()
+	p.Refresh(false)
+	check("alone again", p, false)
+}
+
+// A claim that fails or a release that comes late must not free the id of another request.
+func TestLateReleaseFreesNothing(t *testing.T) {
+	p := start(t, "", 1)
+	release, err := p.Claim("a", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	release()
+	if _, err := p.Claim("a", true); err != nil {
+		t.Fatal(err)
+	}
+	release()
+	p.checkClaim(t, "released twice", "a", ErrOpen)
+}
+
+func BenchmarkClaim(b *testing.B) {
+	const openIDs = 400
+	path := filepath.Join(b.TempDir(), "ids")
+	registries := []*Registry{New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))}
+	run := func(name string) {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				release, err := registries[0].Claim("a", true)
+				if err != nil {
+					b.Fatal(err)
+				}
+				release()
+			}
+		})
+	}
+	for number, r := range registries {
+		if err := r.Join(path, "", number); err != nil {
+			b.Fatal(err)
+		}
+		registries[0].Refresh(false)
+		if number == 0 {
+			for i := range openIDs {
+				_, _ = r.Claim(fmt.Sprint("id", i), true)
+			}
+			run("alone")
+		}
+	}
+	run("beside another process")
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,13 +15,17 @@
 	"time"
 
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/openids"
 )
 
 const (
-	callTimeout      = 2 * time.Second        // for reading a call and for writing its answer
-	pollInterval     = 100 * time.Millisecond // between reads of the shared file
-	saveInterval     = time.Second            // between saves of the learned state
-	maxWorkerIDBytes = 256
+	callTimeout  = 2 * time.Second        // for reading a call and for writing its answer
+	pollInterval = 100 * time.Millisecond // between reads of the shared file
+	saveInterval = time.Second            // between saves of the learned state
+	// For older processes to share the ids of their open requests, which they do at their next poll.
+	shareTimeout       = 5 * pollInterval
+	shareCheckInterval = 5 * time.Millisecond
+	maxWorkerIDBytes   = 256
 )
 
 // Router is the part of the core that operator calls act on.
@@ -36,9 +40,11 @@
 // Its exported fields must be set before Start.
 type Controller struct {
 	SharedState *SharedState
+	Identity    string // the same in all processes of the router, empty if there can be no other
 	Router      Router
 	Standby     func(on bool) // makes the fronts shed their clients, or accept them again
 	Serving     func() bool   // reports whether the fronts are open
+	OpenIDs     *openids.Registry
 	Log         *slog.Logger
 
 	mu      sync.Mutex
@@ -59,7 +65,18 @@
 		}
 		st.Started = max(st.Started, c.number)
 	})
+	c.showProcess()
+	c.refreshOpenIDs()
+}
+
+// showProcess shows other processes that this one runs, and that it shares the ids of its open requests. The file that shows
+// that it runs is opened first and locked last: a process that dies closes its files in the order in which it opened them,
+// so that others never see it run without sharing its ids.
+func (c *Controller) showProcess() {
 	err := c.SharedState.openProcessLock(c.number)
+	if joinErr := c.OpenIDs.Join(c.SharedState.openIDsPath(), c.Identity, c.number); joinErr != nil {
+		c.Log.Error("can't share the ids of open requests with other processes of this router", "err", joinErr)
+	}
 	if err == nil {
 		err = c.SharedState.markRunning()
 	}
@@ -68,6 +85,49 @@
 	}
 }
 
+// refreshOpenIDs adapts the registry of open ids to the processes that run now.
+func (c *Controller) refreshOpenIDs() { c.OpenIDs.Refresh(c.hiddenProcessRuns()) }
+
+// hiddenProcessRuns reports whether a process runs that does not share the ids of its open requests, as one of an older
+// version.
+func (c *Controller) hiddenProcessRuns() bool {
+	c.mu.Lock()
+	newerStarted := c.state.Started > c.number
+	c.mu.Unlock()
+	if c.SharedState.Alone() && !newerStarted {
+		return false
+	}
+	for _, number := range c.SharedState.othersRunning() {
+		if !c.OpenIDs.Shares(number) && c.SharedState.IsRunning(number) {
+			return true
+		}
+	}
+	return false
+}
+
+// AwaitOpenIDs waits until it is known which ids the older processes have open, but only for as long as they should take to
+// share them, and not at all for a process that does not share them.
+func (c *Controller) AwaitOpenIDs(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, shareTimeout)
+	defer stop()
+	check := time.NewTicker(shareCheckInterval)
+	defer check.Stop()
+	for {
+		c.refreshOpenIDs()
+		if c.OpenIDs.Certain() {
+			return
+		}
+		if ctx.Err() != nil || c.hiddenProcessRuns() {
+			c.Log.Warn("another process may have requests open that can't be seen: requests that must not run twice are refused")
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-check.C:
+		}
+	}
+}
+
 // MarkServing records for older processes that this one has started to serve.
 func (c *Controller) MarkServing() {
 	c.update(func(st *State) { st.Serving = max(st.Serving, c.number) })
@@ -96,7 +156,9 @@
 			return
 		case <-t.C:
 		}
-		if _, newer := c.Successor(); newer || time.Since(saved) < saveInterval {
+		_, newer := c.Successor()
+		c.refreshOpenIDs()
+		if newer || time.Since(saved) < saveInterval {
 			continue
 		}
 		saved = time.Now()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,6 +10,9 @@
 	"slices"
 	"syscall"
 	"testing"
+	"testing/synctest"
+
+	"rowanyard/internal/openids"
 )
 
 // fakeRouter is a Router with a fixed list of workers.
@@ -31,7 +34,8 @@
 }
 
 func newController(s *SharedState, f *fakeRouter) *Controller {
-	return &Controller{SharedState: s, Router: f, Standby: func(bool) {}, Serving: func() bool { return true }, Log: slog.New(slog.DiscardHandler)}
+	return &Controller{SharedState: s, Router: f, Standby: func(bool) {}, Serving: func() bool { return true },
+		OpenIDs: openids.New(slog.New(slog.DiscardHandler)), Log: slog.New(slog.DiscardHandler)}
 }
 
 func call(d *Controller, method, path string) int {
@@ -117,6 +121,62 @@
 	}
 }
 
+// Guards against a send-message that runs twice beside a process that does not tell which ids it has open: one that stands still,
+// and one of an older version, started before or after this one.
+func TestHiddenRequestsOfOtherProcessesAreNotRisked(t *testing.T) {
+	start := func(dir string) *Controller {
+		c := newController(openShared(t, dir), &fakeRouter{})
+		c.Start()
+		return c
+	}
+	// startOlderVersion starts a process that shares what the version before did.
+	startOlderVersion := func(dir string, number int) *SharedState {
+		s := openShared(t, dir)
+		s.Alone()
+		if _, err := s.Update(State{}, func(st *State) { st.Started = number }); err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(s.openProcessLock(number), s.markRunning()); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	check := func(when string, c *Controller, want error) {
+		t.Helper()
+		release, err := c.OpenIDs.Claim("a", true)
+		if !errors.Is(err, want) {
+			t.Errorf("%s: %v, want %v", when, err, want)
+		}
+		if err == nil {
+			release()
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		start(dir)
+		newer := start(dir)
+		newer.AwaitOpenIDs(t.Context())
+		check("the older process stands still", newer, openids.ErrUnknown)
+	})
+	dir := t.TempDir()
+	older := startOlderVersion(dir, 1)
+	newer := start(dir)
+	newer.AwaitOpenIDs(t.Context())
+	check("the older process is of an older version", newer, openids.ErrUnknown)
+	endProcess(older)
+	newer.refresh()
+	newer.refreshOpenIDs()
+	check("it has ended", newer, nil)
+
+	rollback := startOlderVersion(dir, newer.number+1)
+	newer.refresh()
+	newer.refreshOpenIDs()
+	check("the newer process is of an older version", newer, openids.ErrUnknown)
+	endProcess(rollback)
+	newer.refreshOpenIDs()
+	check("it has ended too", newer, nil)
+}
+
 // Calls take effect in this process even if the shared file can't be read or written.
 func TestCallsTakeEffectWithoutSharedFile(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/operator/sharedstate.go
+++ b/internal/operator/sharedstate.go
@@ -144,6 +144,23 @@
 // globEscaper escapes what has a meaning in the patterns of filepath.Glob.
 var globEscaper = strings.NewReplacer(`\`, `\\`, `*`, `\*`, `?`, `\?`, `[`, `\[`)
 
+// othersRunning returns the numbers of the processes that run, without this one.
+func (s *SharedState) othersRunning() []int {
+	s.mu.Lock()
+	own := s.number
+	s.mu.Unlock()
+	return slices.DeleteFunc(s.processNumbers(), func(number int) bool { return number == own || !s.IsRunning(number) })
+}
+
+// openIDsPath returns the path of the file by which processes share the ids of their open requests, or "" if nothing is
+// shared.
+func (s *SharedState) openIDsPath() string {
+	if s.path == "" {
+		return ""
+	}
+	return s.path + ".ids"
+}
+
 // IsRunning reports whether the process with this number, which must be another one, still runs.
 func (s *SharedState) IsRunning(number int) bool {
 	if s.path == "" {
