A process that drains follows what operators ask of the newer one

Cause: Controller.Watch ran on the context that SIGTERM ends, so that a draining process read the shared file no more. The registry of open ids, which the same watch refreshes, stood still with it: a third process could have missed the ids of a process that drains.

Now the watch ends with the process. TestDrainingProcessFollowsMaintenance fails on the code before (the old process ends without having heard of it, and 12 requests of 12 that it had open are not served to the end), and passes now.

--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -225,7 +225,10 @@
 	if !p.shared.Alone() {
 		p.restoreLearned()
 	}
-	go p.control.Watch(ctx, func() any { return p.core.Estimates() })
+	// A process that drains follows the others too: what operators ask of them holds for its open requests.
+	watchCtx, stopWatching := context.WithCancel(context.Background())
+	p.onClose(stopWatching)
+	go p.control.Watch(watchCtx, func() any { return p.core.Estimates() })
 	go p.budget.followOverlap(ctx, p.control, p.log)
 }
 
--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -179,3 +181,71 @@
 		t.Fatal(filepath.Base(folder), err)
 	}
 }
+
+// heldReads is a standin.StateStore whose reads do not end before open is closed.
+type heldReads struct {
+	mu     sync.Mutex
+	states map[string]bool
+	open   chan struct{}
+}
+
+func newHeldReads() *heldReads {
+	return &heldReads{states: make(map[string]bool), open: make(chan struct{})}
+}
+
+// Hold implements standin.StateStore.
+func (h *heldReads) Hold(id, _ string) bool {
+	<-h.open
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.states[id] = true
+	return true
+}
+
+// Fetch implements standin.StateStore.
+func (h *heldReads) Fetch(id, _ string) bool { return h.Release(id) }
+
+// Release implements standin.StateStore.
+func (h *heldReads) Release(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.states[id]
+	delete(h.states, id)
+	return held
+}
+
+// Guards against writes to a worker in maintenance: a process that drains must follow what operators ask of the newer one.
+func TestDrainingProcessFollowsMaintenance(t *testing.T) {
+	t.Setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+	const requests = 12
+	reads := newHeldReads()
+	begun := make(chan string, 10*requests)
+	r := newUpgradeRig(t, standin.Options{Writers: 2, Tokens: 2, StateStore: reads,
+		OnEvent: func(event, id, _, _ string) {
+			if event == "out" {
+				begun <- id
+			}
+		}}, 15*time.Second, true)
+	old := r.start("")
+	var answers sync.WaitGroup
+	for i := range requests {
+		answers.Go(func() { r.checkStream(r.send(old, fmt.Sprint("m", i), "send-message"), fmt.Sprint("m", i)) })
+	}
+	for range requests { // all are open in the old process, and none has a writer yet
+		<-begun
+	}
+	next := startProgram(t, r.config(), "")
+	next.operatorURL = "http://" + next.waitLog(t, `msg=serving .*front=operator listen=(\S+)`)
+	next.waitLog(t, `msg=serving .*front=(http)`)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, `msg=draining .*handed_on=(true)`)
+	if code := next.callOperator(t, "POST", "/maintenance/enter?who=writer-1"); code != http.StatusOK {
+		t.Fatalf("maintenance: %d", code)
+	}
+	old.waitLog(t, `msg=maintenance .*out=(\[writer-1\])`)
+	close(reads.open)
+	answers.Wait()
+	if n := r.CallsTo("writer-1"); n != 0 {
+		t.Errorf("%d requests to a worker in maintenance", n)
+	}
+}
