An upgrade hands over the streams of clients that do not ask for the rest

Cause: setUpHTTPFront set HandOverAfter only where the settings have `resume`, as cutting is of no use without it; the handover went with it. What was left was the end of the drain, which cut the streams before the kill. The same cause had three more faces: the time of the handover was that of a 3 s deadline, so that a shorter one brought the kill first; with no other process beside it a process cut such streams before the kill; and gRPC streams, which can't be handed over, were cut by the library with UNAVAILABLE, which tells a client that it may send its request again.

Now streams are handed over whether or not clients resume, 1.3 s before the earliest kill of the settings in force. A stream that the other process does not take (dead, rejecting, standing still) goes on in this one unless clients resume; for this the confirmation is made unambiguous: after the timeout the socket is closed for reading, so that a late confirmation fails at the other side. Without `resume` no process cuts a stream itself any more within 15 s. gRPC streams end with DATA_LOSS before the kill, also while their worker is silent.

TestStreamContinuesInNextProcess did not hand a stream over, as its settings have no `resume`; it now checks that it does, twice. TestStreamsAreHandedOver names the same two cases by CutStreams, which replaces HandOverAfter 0.

--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -467,7 +467,7 @@
 // at the workers.
 func TestStreamContinuesInNextProcess(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
-	fleet, err := standin.Start(standin.Options{Tokens: 80, TokenInterval: 50 * time.Millisecond})
+	fleet, err := standin.Start(standin.Options{Tokens: 120, TokenInterval: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -482,12 +482,14 @@
 	next := startProgram(t, fleet.Config(addr), "")
 	next.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
 	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, `msg="streams handed over" .*streams=(1)$`)
 	old.waitLog(t, "msg=(ended)")
 	last := startProgram(t, fleet.Config(addr), "") // the stream is handed over a second time
 	last.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
 	next.cmd.Process.Signal(syscall.SIGTERM)
+	next.waitLog(t, `msg="streams handed over" .*streams=(1)$`)
 	text, err := io.ReadAll(res.Body)
-	if err != nil || strings.Count(string(text), "data: ") != 82 || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+	if err != nil || strings.Count(string(text), "data: ") != 122 || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
 		t.Errorf("%v: %q", err, text)
 	}
 	if fleet.Effects()["send-message h1"] != 1 || fleet.Calls("read", "h1") != 1 {
--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -59,13 +59,13 @@
 	budget       resourceBudget
 
 	// State shared with another process of the router, and the listeners.
-	shared          *operator.SharedState
-	control         *operator.Controller
-	serving         atomic.Bool
-	serveErrors     chan error // receives the error that ends a front
-	grpcServers     []*grpc.Server
-	handOverStreams context.CancelFunc // ends the streams of gRPC clients; nil without a gRPC front
-	cleanups        []func()           // run by close in reverse order
+	shared         *operator.SharedState
+	control        *operator.Controller
+	serving        atomic.Bool
+	serveErrors    chan error // receives the error that ends a front
+	grpcServers    []*grpc.Server
+	endGRPCStreams context.CancelFunc // ends the streams of gRPC clients; nil without a gRPC front
+	cleanups       []func()           // run by close in reverse order
 }
 
 // newProcess reads the configuration files and applies the process-wide limits.
@@ -194,9 +194,7 @@
 // setUpHTTPFront creates the HTTP front and applies the limits to all parts.
 func (p *process) setUpHTTPFront() {
 	p.front = httpfront.New(p.core, p.workers, p.site.ClassNames, describe.Handler, p.log)
-	if p.site.Resume {
-		p.front.HandOverAfter = guaranteedDrain + killMargin - handOverMargin
-	}
+	p.front.CutStreams = p.site.Resume
 	if len(p.operatorFile.GRPC.WorkerHosts) > 0 {
 		p.front.Bridges = map[string]httpfront.Bridge{grpcfront.Wire: p.grpcWorkers.Bridge}
 	}
--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -46,11 +46,11 @@
 func (p *process) serveGRPC(clients int) error {
 	file := p.operatorFile
 	if file.GRPC.Listen != "" {
-		handOver, handOverStreams := context.WithCancel(context.Background())
-		p.handOverStreams = handOverStreams
-		p.onClose(handOverStreams)
+		streams, endStreams := context.WithCancel(context.Background())
+		p.endGRPCStreams = endStreams
+		p.onClose(endStreams)
 		front := grpcfront.NewServer(p.core, p.grpcWorkers, p.workers, p.site.ClassNames, file.GRPC.MaxOpen, p.log)
-		front.HandOver = handOver
+		front.Streams = streams
 		if err := p.openGRPC("grpc", file.GRPC.Listen, front.GRPC(), clients); err != nil {
 			return err
 		}
@@ -104,32 +104,50 @@
 	return nil
 }
 
-// drain shuts all fronts down gracefully: open requests are answered, streams still running when the time is up are cancelled.
+// drain shuts all fronts down gracefully: open requests are answered, and streams that still run are handed over to the
+// process that takes over, if there is one.
 func (p *process) drain() {
-	drainTime := max(guaranteedDrain, time.Duration(p.reloader.longestDeadline.Load()))
-	defer time.AfterFunc(p.untilKilled()-finalAnswerMargin, p.core.Shutdown).Stop()
+	untilKilled := p.untilKilled()
+	defer time.AfterFunc(untilKilled-finalAnswerMargin, p.core.Shutdown).Stop()
 	successor, hasSuccessor := p.control.Successor()
 	if !hasSuccessor {
 		successor = ""
 	}
+	drainTime := max(guaranteedDrain, time.Duration(p.reloader.longestDeadline.Load()))
 	p.log.Info("draining", "for_at_most", drainTime.String(), "handed_on", hasSuccessor)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime+killMargin-exitMargin)
 	defer cancel()
-	if p.front.HandOverAfter > 0 && p.handOverStreams != nil {
-		defer time.AfterFunc(p.front.HandOverAfter, p.handOverStreams).Stop()
+	streamsCtx := ctx
+	if !p.site.Resume { // a stream that is cut is a lost request
+		var cancelStreams context.CancelFunc
+		streamsCtx, cancelStreams = context.WithTimeout(context.Background(), max(drainTime+killMargin-exitMargin, streamDrainTime))
+		defer cancelStreams()
+	}
+	p.front.HandOverAfter = max(minHandOverDelay, untilKilled-handOverMargin)
+	if p.endGRPCStreams != nil {
+		defer time.AfterFunc(p.untilGRPCStreamsEnd(untilKilled), p.endGRPCStreams).Stop()
 	}
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
 		p.drainGRPC(ctx)
 	}()
-	p.front.Shutdown(ctx, successor)
+	p.front.Shutdown(streamsCtx, successor)
 	<-drained
 	p.core.Wait(ctx)
 	stopped, violated := p.core.Guard.Totals()
 	p.log.Info("ended", "stopped", stopped, "violated", violated)
 }
 
+// untilGRPCStreamsEnd returns the time from the termination signal until the running streams of gRPC clients are ended. They
+// can't be handed over. A stream that the kill cut would look to its client like a refused request, which may be sent again.
+func (p *process) untilGRPCStreamsEnd(untilKilled time.Duration) time.Duration {
+	if p.site.Resume { // while there is another router to request the rest from
+		return p.front.HandOverAfter
+	}
+	return untilKilled - exitMargin
+}
+
 // untilKilled returns the shortest time from the termination signal to the kill.
 func (p *process) untilKilled() (kill time.Duration) {
 	for _, class := range p.core.Settings().Classes {
--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -16,6 +16,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/standin"
 )
 
@@ -249,3 +256,67 @@
 		t.Errorf("%d requests to a worker in maintenance", n)
 	}
 }
+
+// Guards against streams that an upgrade loses: they are handed over before the kill also where their clients do not request
+// the rest of a stream that broke, and where a short deadline brings the kill early.
+func TestUpgradeLosesNoStreamOfClientsThatDoNotResume(t *testing.T) {
+	const streams = 9
+	r := newUpgradeRig(t, standin.Options{Writers: 3, Tokens: 80, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
+	old := r.start("")
+	var answers [streams]*http.Response
+	for i := range answers {
+		answers[i] = r.send(old, fmt.Sprint("s", i), "send-message")
+	}
+	next := r.start("")
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, fmt.Sprintf(`msg="streams handed over" .*streams=(%d)$`, streams))
+	old.waitLog(t, "msg=(ended)")
+	for i, res := range answers {
+		r.checkStream(res, fmt.Sprint("s", i))
+	}
+	next.cmd.Process.Signal(syscall.SIGTERM)
+	next.waitLog(t, "msg=(ended)")
+}
+
+// shortDeadline brings the kill 1.7 s after SIGTERM.
+const shortDeadline = time.Second
+
+// Guards against streams that a process cuts before the kill, although their clients do not request the rest and no other
+// process takes over: they go on to their end.
+func TestProcessThatEndsCutsNoStreamOfClientsThatDoNotResume(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: 80, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
+	p := r.start("")
+	stream := r.send(p, "a", "send-message")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	r.checkStream(stream, "a")
+	p.waitLog(t, "msg=(ended)")
+}
+
+// Guards against gRPC streams that end with UNAVAILABLE, which tells a client that it may send its request again: a stream that
+// a process can't finish before the kill ends with DATA_LOSS.
+func TestGRPCStreamsEndWithDataLossBeforeTheKill(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: 1000, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
+	p := startProgram(t, r.config(), `{"grpc":{"listen":"127.0.0.1:0"}}`)
+	conn, err := grpc.NewClient("passthrough:///"+p.waitLog(t, `msg=serving .*front=grpc listen=(\S+)`), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	p.waitLog(t, `msg=serving .*front=(http)`)
+	stream, err := pb.NewCompletionsClient(conn).Complete(t.Context(), &pb.CompleteRequest{Id: "g", Class: "send-message", PromptTokens: 40,
+		FirstTokenWithin: durationpb.New(shortDeadline), Messages: []*pb.Message{{Role: "user", Content: "g"}}})
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	for err == nil {
+		_, err = stream.Recv()
+	}
+	if status.Code(err) != codes.DataLoss {
+		t.Errorf("the stream ended with %v, want %v", err, codes.DataLoss)
+	}
+	p.waitLog(t, "msg=(ended)")
+}
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -4,6 +4,7 @@
 package grpcfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,9 +39,9 @@
 // Server implements the Completions service for gRPC clients.
 type Server struct {
 	pb.UnimplementedCompletionsServer
-	// HandOver, if not nil, ends when running streams are to be handed over: they break with DATA_LOSS, and their clients
-	// ask another router for the rest. It must be set before serving.
-	HandOver  context.Context
+	// Streams, if not nil, is done when running streams are to end: they break with DATA_LOSS once some of them has passed, and
+	// clients that can ask another router for the rest. It must be set before serving.
+	Streams   context.Context
 	core      *core.Core
 	workers   *Workers
 	http      *httpfront.Workers
@@ -114,7 +115,7 @@
 	a := s.core.Serve(out.Context(), q, s.exchange(req))
 	switch a.Verdict {
 	case core.Streaming:
-		return relay(a, out, s.HandOver)
+		return relay(a, out, cmp.Or(s.Streams, context.Background()))
 	case core.Refused:
 		return refusal(codes.Unavailable, "refused, nothing has run", a.RetryAfter)
 	case core.ClientGone:
@@ -134,20 +135,20 @@
 	return st.Err()
 }
 
-// relay forwards a worker's stream to the client, chunk by chunk, and reports its end to the core.
-func relay(a core.Answer, out grpc.ServerStreamingServer[pb.Chunk], handOver context.Context) error {
+// relay forwards a worker's stream to the client, chunk by chunk, and reports its end to the core. Once streams is done it
+// breaks the stream off.
+func relay(a core.Answer, out grpc.ServerStreamingServer[pb.Chunk], streams context.Context) error {
 	stream := a.Stream.(chunkStream)
 	defer stream.Close()
 	for first := true; ; first = false {
-		if !first && handOver != nil && handOver.Err() != nil {
-			a.StreamEnded(decide.Cancelled)
-			return status.Error(codes.DataLoss, "the router ends, ask for the rest")
-		}
 		c, err := stream.Recv()
 		switch {
 		case err == io.EOF:
 			a.StreamEnded(decide.Served)
 			return nil
+		case err != nil && streams.Err() != nil:
+			a.StreamEnded(decide.Cancelled)
+			return status.Error(codes.DataLoss, "the router ends before the stream does")
 		case err != nil:
 			a.StreamEnded(decide.Reset)
 			if out.Context().Err() != nil {
@@ -159,6 +160,9 @@
 			a.StreamEnded(decide.Cancelled)
 			return err
 		}
+		if first { // from now on, also while nothing comes from the worker
+			defer context.AfterFunc(streams, func() { stream.Close() })()
+		}
 	}
 }
 
--- a/internal/grpcfront/front_test.go
+++ b/internal/grpcfront/front_test.go
@@ -77,7 +77,7 @@
 	grpcFront := grpcfront.NewServer(c, gw, hw, site.ClassNames, 200, log)
 	handOver, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	grpcFront.HandOver = handOver
+	grpcFront.Streams = handOver
 	server := grpcFront.GRPC()
 	go server.Serve(l)
 	t.Cleanup(server.Stop)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -49,10 +49,13 @@
 	Bridges map[string]Bridge
 	// BodyMemory limits the bytes of request bodies that are held at once. New requests beyond it are refused with 503.
 	BodyMemory atomic.Int64
-	// HandOverAfter is how long after the start of Shutdown the streams that are still running are cut or handed over. The
-	// clients of cut streams request the rest from another router while there is one. 0 disables it, for clients that
-	// don't request the rest.
+	// HandOverAfter is how long after the start of Shutdown the streams that are still running are handed over to the
+	// process that takes over, if there is one.
 	HandOverAfter time.Duration
+	// CutStreams is set if clients request the rest of a stream that broke. Streams that can't be handed over are then cut
+	// after HandOverAfter, so that their clients go to another router while there is one. Otherwise they go on to their end
+	// in this process.
+	CutStreams bool
 
 	core           *core.Core
 	workers        *Workers
@@ -64,6 +67,8 @@
 	bodyMemoryUsed atomic.Int64
 	cutCtx         context.Context    // cancelled when streams are to be handed over or cut
 	cutStreams     context.CancelFunc // cancels cutCtx
+	keptStreams    *StreamReceiver    // relays streams that could not be handed over
+	handedOver     atomic.Int64       // streams that another process has taken over
 
 	mu            sync.Mutex
 	clients       *clientListener // nil before Serve
@@ -81,6 +86,7 @@
 	cutCtx, cutStreams := context.WithCancel(context.Background())
 	f := &Front{cutCtx: cutCtx, cutStreams: cutStreams, core: c, workers: w, classes: ClassesOf(classNames), log: logger, writeTimeout: clientWriteTimeout}
 	f.BodyMemory.Store(defaultBodyMemory)
+	f.keptStreams = &StreamReceiver{front: f, cutCtx: context.Background(), retryAfter: retryAfterLine(c.BusyRetryAfter()), ids: c.OpenIDs, log: logger}
 	serverLog := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the core chooses the worker, in RoundTrip
@@ -276,8 +282,7 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{Stream: s, onEnd: a.StreamEnded, client: parsed.client, writeTimeout: t.front.writeTimeout, cutCtx: t.front.cutCtx,
-			successorPath: &t.front.successorPath, id: parsed.q.Label, ids: t.front.core.OpenIDs, log: t.front.log}
+		res.Body = &relay{Stream: s, front: t.front, id: parsed.q.Label, onEnd: a.StreamEnded, client: parsed.client}
 		if out.ProtoAtLeast(1, 1) {
 			res.Body.(*relay).conn = conn
 		}
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -572,7 +572,7 @@
 // connection ends without the last chunk, after some of the stream has passed. If clients don't request the rest, the stream
 // goes on to its end.
 func TestStreamsAreHandedOver(t *testing.T) {
-	for _, after := range []time.Duration{time.Millisecond, 0} {
+	for _, cut := range []bool{true, false} {
 		more := make(chan struct{})
 		front, c := startFront(t, twoStageWorker(func(w http.ResponseWriter, r *http.Request) {
 			io.WriteString(w, "data: {}\n\n")
@@ -583,7 +583,7 @@
 			}
 		}))
 		f := front.Config.Handler.(*Front)
-		f.HandOverAfter = after
+		f.HandOverAfter, f.CutStreams = time.Millisecond, cut
 		req, _ := http.NewRequest(http.MethodPost, front.URL+PathChat, strings.NewReader(requestBody))
 		req.Header = requestHeader()
 		res, err := http.DefaultClient.Do(req)
@@ -593,13 +593,13 @@
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
 		f.Shutdown(ctx, "")
-		if after == 0 {
+		if !cut {
 			close(more)
 		}
 		text, err := io.ReadAll(res.Body)
 		res.Body.Close()
-		if string(text) != "data: {}\n\n" || (err != nil) != (after > 0) {
-			t.Errorf("HandOverAfter %v: %q %v", after, text, err)
+		if string(text) != "data: {}\n\n" || (err != nil) != cut {
+			t.Errorf("CutStreams %v: %q %v", cut, text, err)
 		}
 		c.Wait(ctx)
 	}
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -28,7 +28,10 @@
 	handOverSockets  = 2                      // the client's and the worker's
 )
 
-var errHandedOver = errors.New("handed over to the process that takes over")
+var (
+	errHandedOver  = errors.New("handed over to the process that takes over")
+	errNoSuccessor = errors.New("no process takes over")
+)
 
 // streamPosition describes the state of a stream between two bytes from its worker. It is sent to the other process as JSON.
 type streamPosition struct {
@@ -58,23 +61,63 @@
 		eventScanner{namePrefix: h.Line, lineBytes: h.Length, validName: h.Fine, isComment: h.Note}, nil
 }
 
-// handOverStream sends a stream's position and its sockets to the process that listens at path, and returns once that process
-// has accepted them. The sockets stay open in this process.
-func handOverStream(path string, h streamPosition, client, worker int) error {
-	text, err := json.Marshal(h)
+// handOverStream hands a stream over to the process that takes over. The sockets stay open in this process.
+func (f *Front) handOverStream(position streamPosition, client, worker int) error {
+	path := f.successorPath.get()
+	if path == "" {
+		return errNoSuccessor
+	}
+	f.core.OpenIDs.PrepareHandOver(position.ID)
+	err := sendStream(path, position, client, worker)
+	if err != nil {
+		f.log.Warn("a stream was not handed on", "txn", position.ID, "err", err)
+		return err
+	}
+	f.handedOver.Add(1)
+	f.log.Debug("a stream was handed on", "txn", position.ID)
+	return nil
+}
+
+// breakStream ends a client's connection in the middle of a stream that could not be handed over. Closing it is not enough:
+// the other process may stand still with the socket in its queue.
+func breakStream(client int) { _ = syscall.Shutdown(client, syscall.SHUT_RDWR) }
+
+// sendStream sends a stream's position and its sockets to the process that listens at path, and returns once that process
+// has accepted them. After an error it has not and never will. The sockets stay open in this process.
+func sendStream(path string, position streamPosition, client, worker int) error {
+	text, err := json.Marshal(position)
 	if err != nil {
 		return err
 	}
-	c, err := net.DialTimeout("unixpacket", path, handOverTimeout)
+	dialer := net.Dialer{Timeout: handOverTimeout}
+	conn, err := dialer.Dial("unixpacket", path)
 	if err != nil {
 		return err
 	}
+	c := conn.(*net.UnixConn)
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
-	if _, _, err := c.(*net.UnixConn).WriteMsgUnix(text, syscall.UnixRights(client, worker), nil); err != nil {
+	if _, _, err := c.WriteMsgUnix(text, syscall.UnixRights(client, worker), nil); err != nil {
 		return err
 	}
-	_, err = c.Read(make([]byte, 1))
+	return awaitAccepted(c)
+}
+
+// awaitAccepted waits until the other process confirms that it has accepted a stream. If that takes too long, it makes sure
+// that the other process can't confirm any more, on which that one drops the stream.
+func awaitAccepted(c *net.UnixConn) error {
+	confirmation := make([]byte, 1)
+	_, err := c.Read(confirmation)
+	if err == nil {
+		return nil
+	}
+	if closeErr := c.CloseRead(); closeErr != nil {
+		return errors.Join(err, closeErr)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(handOverTimeout))
+	if n, _ := c.Read(confirmation); n > 0 { // it came in between
+		return nil
+	}
 	return err
 }
 
@@ -101,15 +144,14 @@
 	return fd, dupErr
 }
 
-// StreamReceiver receives streams from an older process and relays the rest of them to their clients. It is created by
-// Front.ReceiveStreams.
+// StreamReceiver receives streams from an older process, or from its own, and relays the rest of them to their clients.
 type StreamReceiver struct {
-	listener   *net.UnixListener
+	front      *Front
+	listener   *net.UnixListener // nil if the streams come from this process
 	ids        *openids.Registry
 	log        *slog.Logger
 	retryAfter string          // the Retry-After line of refusals, may be empty
 	cutCtx     context.Context // once it is done the streams are handed over to the next process
-	next       *successor
 
 	running inflight.Counter
 }
@@ -130,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	h := &StreamReceiver{listener: listener, ids: f.core.OpenIDs, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx, next: &f.successorPath}
+	h := &StreamReceiver{front: f, listener: listener, ids: f.core.OpenIDs, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx}
 	f.mu.Lock()
 	f.receiver = h
 	f.mu.Unlock()
@@ -172,6 +214,26 @@
 			fds = append(fds, got...)
 		}
 	}
+	var position streamPosition
+	if err := json.Unmarshal(text[:n], &position); err != nil {
+		closeAll(fds)
+		return err
+	}
+	return h.startStream(position, fds, func() error {
+		_, err := c.Write([]byte("+")) // from now on the older process may release the id
+		return err
+	})
+}
+
+func closeAll(fds []int) {
+	for _, fd := range fds {
+		syscall.Close(fd)
+	}
+}
+
+// startStream starts to relay the rest of a stream. fds are the sockets of its client and its worker, which it closes.
+// confirm, if not nil, is called right before.
+func (h *StreamReceiver) startStream(position streamPosition, fds []int, confirm func() error) error {
 	var conns []net.Conn
 	for _, fd := range fds {
 		file := os.NewFile(uintptr(fd), "handed")
@@ -180,29 +242,24 @@
 		}
 		file.Close()
 	}
-	s := &receivedStream{receiver: h}
-	var position streamPosition
-	if err = json.Unmarshal(text[:n], &position); err == nil {
-		s.chunk, s.events, err = position.scanners()
-	}
+	s := &receivedStream{receiver: h, id: position.ID, releaseID: h.adoptID(position.ID)}
+	s.pipelined.Store(int32(position.Behind))
+	var err error
+	s.chunk, s.events, err = position.scanners()
 	if len(conns) != handOverSockets && err == nil {
 		err = fmt.Errorf("received %d sockets of %d", len(conns), handOverSockets)
 	}
-	if err == nil {
-		s.id, s.releaseID = position.ID, h.adoptID(position.ID)
-		_, err = c.Write([]byte("+")) // from now on the older process may release the id
+	if err == nil && confirm != nil {
+		err = confirm()
 	}
 	if err != nil {
-		if s.releaseID != nil {
-			s.releaseID()
-		}
+		s.releaseID()
 		for _, conn := range conns {
 			conn.Close()
 		}
 		return err
 	}
 	s.client, s.worker = conns[0], conns[1]
-	s.pipelined.Store(int32(position.Behind))
 	h.running.Begin()
 	go func() {
 		defer h.running.End()
@@ -229,6 +286,7 @@
 	chunk          chunkScanner
 	events         eventScanner
 	pipelined      atomic.Int32 // requests that were read behind the one being answered
+	kept           bool         // it could not be handed over and goes on here
 }
 
 // run relays the rest of the stream and then closes the client's connection.
@@ -244,11 +302,9 @@
 	buf, out := make([]byte, copyBufferBytes), []byte(nil)
 	s.chunk.onData = func(p []byte) { out = append(out, p...) }
 	for {
-		if s.receiver.cutCtx.Err() == nil {
-			_ = s.worker.SetReadDeadline(time.Now().Add(StreamStallTimeout))
-		}
-		if s.receiver.cutCtx.Err() != nil { // the deadline just set may have replaced the one set by AfterFunc
-			s.handOver()
+		_ = s.worker.SetReadDeadline(time.Now().Add(StreamStallTimeout))
+		// This comes second, as the deadline just set may have replaced the one set by AfterFunc.
+		if s.handOverDue() && !s.handOver() {
 			return
 		}
 		n, err := s.worker.Read(buf)
@@ -269,9 +325,7 @@
 				writeRefusals(s.client, s.receiver.retryAfter, int(s.pipelined.Load()))
 			}
 			return
-		case err != nil && s.receiver.cutCtx.Err() != nil:
-			s.handOver()
-			return
+		case err != nil && s.handOverDue(): // it was interrupted for this
 		case err != nil:
 			s.receiver.log.Info("stream broke off", "handed", true, "err", err)
 			return
@@ -304,25 +358,32 @@
 	return err
 }
 
-// handOver hands the stream over to the next process.
-func (s *receivedStream) handOver() {
-	path := s.receiver.next.get()
-	if path == "" {
-		return
-	}
+// handOverDue reports whether the stream is to be handed over to the next process.
+func (s *receivedStream) handOverDue() bool { return s.receiver.cutCtx.Err() != nil && !s.kept }
+
+// handOver hands the stream over to the next process. It reports whether the stream goes on in this one.
+func (s *receivedStream) handOver() (kept bool) {
+	err := s.sendToSuccessor()
+	s.kept = err != nil && !s.receiver.front.CutStreams
+	return s.kept
+}
+
+func (s *receivedStream) sendToSuccessor() error {
 	client, err := dup(s.client)
-	if err == nil {
-		defer syscall.Close(client)
-		var worker int
-		if worker, err = dup(s.worker); err == nil {
-			defer syscall.Close(worker)
-			position := streamPositionOf(s.chunk, s.events)
-			position.Behind, position.ID = int(s.pipelined.Load()), s.id
-			s.receiver.ids.PrepareHandOver(s.id)
-			err = handOverStream(path, position, client, worker)
-		}
+	if err != nil {
+		return err
 	}
+	defer syscall.Close(client)
+	worker, err := dup(s.worker)
 	if err != nil {
-		s.receiver.log.Warn("a stream was not handed on", "err", err)
+		return err
 	}
+	defer syscall.Close(worker)
+	position := streamPositionOf(s.chunk, s.events)
+	position.Behind, position.ID = int(s.pipelined.Load()), s.id
+	err = s.receiver.front.handOverStream(position, client, worker)
+	if err != nil && s.receiver.front.CutStreams {
+		breakStream(client)
+	}
+	return err
 }
--- /dev/null
+++ b/internal/httpfront/handover_test.go
@@ -0,0 +1,172 @@
+package httpfront
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"rowanyard/internal/openids"
+)
+
+// logLines is an io.Writer that passes on the lines of a log.
+type logLines chan string
+
+// Write implements io.Writer.
+func (l logLines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
+}
+
+// waitFor waits for a line that contains text.
+func (l logLines) waitFor(t *testing.T, text string) {
+	t.Helper()
+	for !strings.Contains(receive(t, l, text), text) {
+	}
+}
+
+// newLoggingFront returns a Front that hands its streams over right away and logs to the returned lines.
+func newLoggingFront(t *testing.T, workerAddr string) (*Front, logLines) {
+	f, _ := newFrontWithTarget(t, workerAddr, time.Hour)
+	f.HandOverAfter = time.Millisecond
+	lines := make(logLines, 1000)
+	f.log = slog.New(slog.NewTextHandler(lines, nil))
+	return f, lines
+}
+
+// A successor is what takes over at a path, or does not.
+type successorKind int
+
+const (
+	dead        successorKind = iota // nothing listens
+	rejecting                        // closes each connection
+	standsStill                      // accepts no connection
+	late                             // reads and confirms once the older process has given up
+)
+
+// listen listens at path as the successor does. It calls gaveUp, if not nil, before it reads late.
+func (k successorKind) listen(t *testing.T, path string, gaveUp <-chan struct{}, lateError chan<- error) {
+	t.Helper()
+	if k == dead {
+		return
+	}
+	listener, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	if k == standsStill {
+		return
+	}
+	go func() {
+		c, err := listener.AcceptUnix()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if k == late {
+			<-gaveUp
+			_, err := c.Write([]byte("+"))
+			lateError <- err
+		}
+	}()
+}
+
+// Guards against streams that are lost, or relayed twice, where another process does not take them: unless their clients request
+// the rest, they go on in this one, and their ids stay open. A process that confirms too late must learn that it is too late.
+func TestStreamThatIsNotTakenOverGoesOn(t *testing.T) {
+	for name, x := range map[string]struct {
+		successor successorKind
+		resume    bool
+	}{
+		"dead":                                {dead, false},
+		"rejecting":                           {rejecting, false},
+		"stands still":                        {standsStill, false},
+		"late":                                {late, false},
+		"dead, clients request the rest":      {dead, true},
+		"stands still, they request the rest": {standsStill, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, begun, goOn := streamingWorker(t)
+			f, lines := newLoggingFront(t, addr)
+			f.CutStreams = x.resume
+			path, gaveUp, lateError := filepath.Join(t.TempDir(), "s"), make(chan struct{}), make(chan error, 1)
+			x.successor.listen(t, path, gaveUp, lateError)
+			frontAddr, _ := serveReportingReads(t, f)
+			in := bufio.NewReader(dialAndSend(t, frontAddr, withLongDeadline(requestText("one", contentLength(requestBody), requestBody))))
+			receive(t, begun, "the stream")
+			ended := make(chan struct{})
+			go func() {
+				f.Shutdown(t.Context(), path)
+				close(ended)
+			}()
+			lines.waitFor(t, "a stream was not handed on")
+			close(gaveUp)
+			if x.successor == late {
+				if err := receive(t, lateError, "the late confirmation"); err == nil {
+					t.Error("the other process can confirm a stream that goes on in this one")
+				}
+			}
+			if x.resume {
+				if _, err := io.ReadAll(readHead(t, in).Body); err == nil {
+					t.Error("the stream has ended as if it were complete")
+				}
+			} else {
+				if _, err := f.core.ClaimID("one", 0); !errors.Is(err, openids.ErrOpen) {
+					t.Errorf("claim of the stream's id: %v, want %v", err, openids.ErrOpen)
+				}
+				goOn <- struct{}{}
+				readStream(t, in)
+			}
+			receive(t, ended, "the end of Shutdown")
+			if _, err := f.core.ClaimID("one", 0); err != nil {
+				t.Errorf("the id of a stream that is over: %v", err)
+			}
+		})
+	}
+}
+
+func readHead(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+// Guards against streams that are lost at a second upgrade: one that was taken over and that the next process does not take goes on.
+func TestReceivedStreamThatIsNotTakenOverGoesOn(t *testing.T) {
+	addr, begun, goOn := streamingWorker(t)
+	older, _ := newLoggingFront(t, addr)
+	newer, lines := newLoggingFront(t, addr)
+	path := filepath.Join(t.TempDir(), "s")
+	if err := newer.ReceiveStreams(path); err != nil {
+		t.Fatal(err)
+	}
+	frontAddr, _ := serveReportingReads(t, older)
+	in := bufio.NewReader(dialAndSend(t, frontAddr, withLongDeadline(requestText("one", contentLength(requestBody), requestBody))))
+	receive(t, begun, "the stream")
+	older.Shutdown(t.Context(), path)
+	if n := older.handedOver.Load(); n != 1 {
+		t.Fatalf("%d streams handed over, want 1", n)
+	}
+	ended := make(chan struct{})
+	go func() {
+		newer.Shutdown(t.Context(), path+".next")
+		close(ended)
+	}()
+	lines.waitFor(t, "a stream was not handed on")
+	if _, err := newer.core.ClaimID("one", 0); !errors.Is(err, openids.ErrOpen) {
+		t.Errorf("claim of the stream's id: %v, want %v", err, openids.ErrOpen)
+	}
+	goOn <- struct{}{}
+	readStream(t, in)
+	receive(t, ended, "the end of Shutdown")
+}
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -50,9 +50,9 @@
 }
 
 // Shutdown ends the front gracefully. It closes idle connections at once, answers the requests that have arrived and those
-// that still arrive for a short while, and cuts the streams that are still running when ctx ends. successor is the path at
-// which another process, which by now listens at the same address and gets the new connections, takes over streams; it is
-// "" if there is none.
+// that still arrive for a short while, hands over streams (see HandOverAfter), and cuts those that are still running when
+// ctx ends. successor is the path at which another process, which by now listens at the same address and gets the new
+// connections, takes over streams; it is "" if there is none.
 func (f *Front) Shutdown(ctx context.Context, successor string) {
 	f.mu.Lock()
 	f.closing, f.successor = true, successor != ""
@@ -65,11 +65,8 @@
 	if current != nil {
 		current.closeAfterAnswers(true)
 	}
-	if f.HandOverAfter > 0 {
-		defer time.AfterFunc(f.HandOverAfter, func() {
-			f.log.Info("handing streams over")
-			f.cutStreams()
-		}).Stop()
+	if successor != "" || f.CutStreams {
+		defer time.AfterFunc(f.HandOverAfter, f.cutStreams).Stop()
 	}
 	select {
 	case <-time.After(shutdownAcceptTime):
@@ -79,7 +76,11 @@
 		f.log.Warn("streams cut at the end", "err", ctx.Err())
 	}
 	f.server.Close()
+	f.keptStreams.running.Wait(ctx)
 	if streamReceiver != nil {
 		streamReceiver.stop(ctx)
 	}
+	if successor != "" {
+		f.log.Info("streams handed over", "streams", f.handedOver.Load())
+	}
 }
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -14,7 +13,6 @@
 	"time"
 
 	"rowanyard/decide"
-	"rowanyard/internal/openids"
 )
 
 const (
@@ -33,18 +31,14 @@
 // which the proxy closes the client's connection without the last chunk.
 type relay struct {
 	Stream
-	onEnd         func(decide.Status)
-	client        *http.ResponseController
-	writeTimeout  time.Duration
-	cutCtx        context.Context // cancelled to hand over or cut streams, each once some of it has passed
-	stopCutting   func() bool
-	cut           atomic.Bool
-	successorPath *successor
-	conn          *clientConn // nil if the answer is not chunked
-	id            string      // of the request
-	ids           *openids.Registry
-	handedOver    bool // the next Read returns errHandedOver
-	log           *slog.Logger
+	front       *Front
+	id          string // of the request
+	onEnd       func(decide.Status)
+	client      *http.ResponseController
+	conn        *clientConn // nil if the answer is not chunked
+	stopCutting func() bool // set once some of the stream has passed, which it must before it is handed over or cut
+	cut         atomic.Bool
+	handedOver  bool // the next Read returns errHandedOver
 }
 
 func (r *relay) Read(p []byte) (int, error) {
@@ -57,23 +51,14 @@
 			return n, nil
 		}
 		if r.handOver() {
-			r.onEnd(decide.Served) // complete as far as this process is concerned
+			r.onEnd(decide.Served) // complete as far as the core is concerned
 		}
 	}
 	if r.stopCutting == nil && n > 0 {
-		r.stopCutting = context.AfterFunc(r.cutCtx, func() {
-			if s, ok := r.Stream.(*stream); ok && r.conn != nil && r.successorPath.get() != "" && s.requestHandOver() {
-				return
-			}
-			// The clients of cut streams send their prompts again to request the rest; all at once they would overload
-			// the other routers.
-			time.Sleep(rand.N(cutSpread))
-			r.cut.Store(true)
-			r.Stream.Close()
-		})
+		r.stopCutting = context.AfterFunc(r.front.cutCtx, r.handOverOrCut)
 	}
 	// A client that stops reading would otherwise hold its stream, and a slot at the writer, for good.
-	_ = r.client.SetWriteDeadline(time.Now().Add(r.writeTimeout))
+	_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
 	switch {
 	case err == io.EOF:
 		r.onEnd(decide.Served)
@@ -85,23 +70,43 @@
 	return n, err
 }
 
-// handOver hands the stream over to the process that takes over, and reports whether that succeeded. If it failed the
-// stream breaks, and its client requests the rest.
+// handOverOrCut has the stream handed over to the process that takes over. One that can't be is cut if its client requests
+// the rest, and goes on in this process otherwise.
+func (r *relay) handOverOrCut() {
+	s, ok := r.Stream.(*stream)
+	if ok && r.conn != nil && r.front.successorPath.get() != "" && s.requestHandOver() || !r.front.CutStreams {
+		return
+	}
+	// The clients of cut streams send their prompts again to request the rest; all at once they would overload the other
+	// routers.
+	time.Sleep(rand.N(cutSpread))
+	r.cut.Store(true)
+	r.Stream.Close()
+}
+
+// handOver hands the stream over to the process that takes over, or has this process relay the rest where that one does not
+// take it. It reports whether the stream goes on.
 func (r *relay) handOver() bool {
 	s := r.Stream.(*stream)
-	defer syscall.Close(s.conn.handOverFD)
 	r.conn.socket.pause()
+	position := streamPositionOf(s.conn.chunks, s.events)
+	position.Behind, position.ID = int(r.conn.pipelined.Load()), r.id
+	worker := s.conn.handOverFD
 	client, err := dup(r.conn.Conn)
-	if err == nil {
-		defer syscall.Close(client)
-		position := streamPositionOf(s.conn.chunks, s.events)
-		position.Behind, position.ID = int(r.conn.pipelined.Load()), r.id
-		r.ids.PrepareHandOver(r.id)
-		err = handOverStream(r.successorPath.get(), position, client, s.conn.handOverFD)
+	if err != nil {
+		syscall.Close(worker)
+		r.front.log.Warn("a stream was not handed on", "err", err)
+		return false
+	}
+	err = r.front.handOverStream(position, client, worker)
+	if err != nil && !r.front.CutStreams {
+		return r.front.keptStreams.startStream(position, []int{client, worker}, nil) == nil
 	}
 	if err != nil {
-		r.log.Warn("a stream was not handed on", "err", err)
+		breakStream(client)
 	}
+	syscall.Close(client)
+	syscall.Close(worker)
 	return err == nil
 }
 
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -199,15 +199,15 @@
 			c.buf = nil
 			n, err = c.Conn.Read(p)
 		}
-		if err != nil {
-			c.err = err
-			// The transport closes the connection as soon as it has the error.
-			if c.handOverRequested.Load() && errors.Is(err, os.ErrDeadlineExceeded) && c.state == inChunkedBody && n == 0 {
-				if fd, err := dup(c.Conn); err == nil {
-					c.handOverFD, c.err = fd, errHandedOver
-				}
+		if err != nil && n == 0 && c.handOverRequested.CompareAndSwap(true, false) && errors.Is(err, os.ErrDeadlineExceeded) {
+			// The transport closes the connection as soon as it has an error.
+			if c.handOverFD, err = dup(c.Conn); err != nil { // the stream goes on here
+				_ = c.Conn.SetReadDeadline(time.Time{})
+				continue
 			}
+			err = errHandedOver
 		}
+		c.err = err
 		if n, err = c.scanBody(p[:n]); err != nil {
 			c.fail(err)
 		}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -523,9 +524,10 @@
 	return min(max(minStallTimeout, stallGapFactor*s.longestGap), StreamStallTimeout)
 }
 
-// requestHandOver makes Read return errHandedOver before the next byte that has not arrived yet.
+// requestHandOver makes Read return errHandedOver before the next byte that has not arrived yet. It returns false for a stream
+// that can't be handed over, as its end is not marked by a last chunk.
 func (s *stream) requestHandOver() bool {
-	if s.conn == nil {
+	if s.conn == nil || !slices.Contains(s.res.TransferEncoding, "chunked") {
 		return false
 	}
 	s.conn.handOverRequested.Store(true)
--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -34,7 +34,10 @@
 }
 
 // claim is the entry of an open id.
-type claim struct{ locked bool } // in the file
+type claim struct {
+	holders int  // that have not released it
+	locked  bool // in the file
+}
 
 // New returns a Registry that is not shared with other processes.
 func New(log *slog.Logger) *Registry {
@@ -169,7 +172,7 @@
 	if unsafe && r.unknown {
 		return nil, ErrUnknown
 	}
-	c := &claim{}
+	c := &claim{holders: 1}
 	if r.publishing {
 		switch err := r.file.writeLock(idByte(id)); {
 		case errors.Is(err, errLocked):
@@ -181,13 +184,25 @@
 		}
 	}
 	r.open[id] = c
-	return func() { r.release(id, c) }, nil
+	return r.releaseOnce(id, c), nil
+}
+
+// releaseOnce returns a function that releases a claim for one of its holders, the first time that it is called.
+func (r *Registry) releaseOnce(id string, c *claim) (release func()) {
+	released := false
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !released {
+			released = true
+			r.release(id, c)
+		}
+	}
 }
 
+// release frees the id once all holders have released it.
 func (r *Registry) release(id string, c *claim) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.open[id] != c {
+	if c.holders--; c.holders > 0 {
 		return
 	}
 	delete(r.open, id)
@@ -212,21 +227,23 @@
 	}
 }
 
-// Adopt reserves an id whose request another process hands over, until release is called. The other process has called
-// PrepareHandOver and releases its own claim later, so that the id is reserved without a gap.
+// Adopt reserves an id whose request was handed over, until release is called: by another process, or by a front of this
+// one. Whoever hands it over has called PrepareHandOver and releases its own claim later, so that the id is reserved without
+// a gap.
 func (r *Registry) Adopt(id string) (release func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.open[id] != nil { // possible only beside a process that does not share its ids
-		return func() {}
+	c := r.open[id]
+	if c == nil {
+		c = &claim{}
+		r.open[id] = c
 	}
-	c := &claim{}
-	r.open[id] = c
-	if r.file != nil {
+	c.holders++
+	if r.file != nil && !c.locked {
 		err := r.file.readLock(idByte(id))
 		if c.locked = err == nil; err != nil {
 			r.log.Warn("an id that was handed over can't be shared with another process", "txn", id, "err", err)
 		}
 	}
-	return func() { r.release(id, c) }
+	return r.releaseOnce(id, c)
 }
