A report on a grant of another process is not taken for one on a grant of this one

A send-message that had run was answered with UNAVAILABLE, "nothing has run", tried again as allowed, and ran twice.

Cause: each process numbered its grants from 1, and a report names its grant by this number only. The same number means another grant in the next process, after a kill as well as during an upgrade.

Now a process begins at a random number of 63 bits, so that a report on a grant of another process is answered with NOT_FOUND and changes nothing.

TestReportOnGrantOfAnotherProcessIsUnknown fails on the code before: the report is accepted, and the own one then refused.

--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	finalAnswerLifetime    = 30 * time.Second       // how long they are kept
 	maxStreamEstimate      = time.Minute            // a stream whose caller does not report its end counts for no longer
 	leftoverReleaseTimeout = 250 * time.Millisecond // for each worker asked to release the state of an abandoned read
+	maxFirstGrantID        = 1 << 63                // leaves as many numbers as a process can ever use
 )
 
 // Coordinator connects grants to the core. All fronts that let callers carry attempts share one.
@@ -132,6 +134,9 @@
 	if d.observer.Tracer == nil {
 		d.observer.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	// The process before this one, or beside it, has given other numbers to its grants: a late report on one of them names no
+	// grant here.
+	config.LastGrantID = rand.Uint64N(maxFirstGrantID)
 	var err error
 	if d.table, err = grant.New(config, 0, d.observeStep); err != nil {
 		return nil, err
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -225,6 +225,22 @@
 	wantCode(t, "a report after the end", c.report(write, pb.Fate_FATE_RAN), codes.NotFound)
 }
 
+// Guards against a send-message that runs twice: a late report on a grant of a process that was killed, or that has been
+// replaced, must not count as one on a grant of the process that gets it.
+func TestReportOnGrantOfAnotherProcessIsUnknown(t *testing.T) {
+	before, after := start(t, standin.Options{}), start(t, standin.Options{})
+	lost := before.caller("p1").must(before.caller("p1").ask("first", 0, "send-message"))
+	c := after.caller("p1")
+	read := c.must(c.ask("second", 0, "send-message"))
+	wantCode(t, "a report on a grant of the process before", c.report(lost, pb.Fate_FATE_TURNED_AWAY), codes.NotFound)
+	if code, text := c.sendAttempt(read, "second", "send-message", "k"); code != http.StatusAccepted {
+		t.Fatalf("read: %d %s", code, text)
+	}
+	if err := c.report(read, pb.Fate_FATE_READ); err != nil {
+		t.Errorf("a report on a grant of this process: %v", err)
+	}
+}
+
 // blockingTracer delays the core's processing of a write's reported result until release is closed.
 type blockingTracer struct {
 	noop.Tracer
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -89,6 +89,7 @@
 	MaxEffects      int           // effects remembered at once
 	MaxIDBytes      int           // length of an id
 	FeedDepth       int           // revocations queued for a watching caller
+	LastGrantID     uint64        // the first grant has the next number; no other Table that callers may reach can use the numbers behind it
 }
 
 // Check returns an error if the values contradict each other or leave no time to act on a grant.
@@ -211,7 +212,7 @@
 	}
 	return &Table{cfg: cfg, wheel: NewWheel[*request](cfg.Tick, now), requests: make(map[string]*request),
 		grants: make(map[uint64]*Grant), workers: make(map[string]*worker), callers: make(map[string]*caller),
-		ledger: newLedger(cfg.MaxEffects, cfg.Tick, now), log: log}, nil
+		lastID: cfg.LastGrantID, ledger: newLedger(cfg.MaxEffects, cfg.Tick, now), log: log}, nil
 }
 
 // Begin handles a call for a choice. If the same call has already been answered it returns that grant, so that repeated
