What has run by a grant of one process of a router is not granted by its others

Change: internal/effectlog. While two processes run, each writes a file that the others read: the ledger once, and from then on a line for each write of a class that must not run twice, before it is granted. The file outlives its process, so that nothing is forgotten at its end, by SIGKILL too. A new process does not rely on an older one before that one has written its ledger (openids.Publisher). An id is checked once it is claimed, so that the two crossing calls are ordered by the claim. Where a file can't be written or read, such requests are refused with UNAVAILABLE. A process that runs alone writes and reads nothing.

Not had: the ledger of a process of the version before. While it runs such requests are refused; once it has ended its ledger is gone, as before.

--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -22,6 +22,7 @@
 	"rowanyard/internal/core"
 	"rowanyard/internal/decisions"
 	"rowanyard/internal/describe"
+	"rowanyard/internal/effectlog"
 	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/measure"
@@ -219,6 +220,10 @@
 	}
 	p.control = &operator.Controller{SharedState: p.shared, Identity: p.identity(), Router: p.core, Standby: p.front.Standby,
 		Serving: p.serving.Load, OpenIDs: p.core.OpenIDs, Log: p.log}
+	if p.grants != nil {
+		p.control.OnNumber = func(number int) { p.grants.ShareEffects(effectlog.Open(p.shared.EffectsPath(), number)) }
+		p.core.OpenIDs.Publisher = p.grants
+	}
 	p.control.Start()
 	if !p.shared.Alone() {
 		p.restoreLearned()
--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -3,6 +3,7 @@
 // Upgrades with real processes: what one process of a router knows while another serves at the same address.
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,9 +20,11 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	decisionspb "rowanyard/internal/decisions/pb"
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/standin"
 )
@@ -320,3 +323,101 @@
 	}
 	p.waitLog(t, "msg=(ended)")
 }
+
+// decisionsCaller carries a request's attempts itself.
+type decisionsCaller struct {
+	decisionspb.DecisionsClient
+	t *testing.T
+}
+
+func (r *upgradeRig) newCaller(p *program) decisionsCaller {
+	r.t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+p.decisionsAddr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { conn.Close() })
+	return decisionsCaller{decisionspb.NewDecisionsClient(conn), r.t}
+}
+
+func (c decisionsCaller) context() context.Context {
+	return metadata.AppendToOutgoingContext(c.t.Context(), "rowanyard-caller", "caller")
+}
+
+func (c decisionsCaller) choose(id string, attempt int32) (*decisionspb.Choice, error) {
+	return c.Choose(c.context(), &decisionspb.ChooseRequest{Request: id, Attempt: attempt, Class: "send-message", PromptTokens: 9,
+		FirstTokenWithin: durationpb.New(4 * time.Second)})
+}
+
+// carry carries the read of a request and reports fate for its write, which is not sent.
+func (c decisionsCaller) carry(id string, fate decisionspb.Fate) {
+	c.t.Helper()
+	for attempt, reported := range []decisionspb.Fate{decisionspb.Fate_FATE_READ, fate} {
+		g, err := c.choose(id, int32(attempt))
+		if err == nil {
+			_, err = c.Report(c.context(), &decisionspb.ReportRequest{Grant: g.Grant, Fate: reported, Over: attempt == 1})
+		}
+		if err != nil {
+			c.t.Fatalf("%s: %v", id, err)
+		}
+	}
+}
+
+// check asks for a request's first attempt.
+func (c decisionsCaller) check(when, id string, want codes.Code) {
+	c.t.Helper()
+	if _, err := c.choose(id, 0); status.Code(err) != want {
+		c.t.Errorf("%s: %s: %v, want %v", when, id, err, want)
+	}
+}
+
+// Guards against a send-message that runs twice: what a caller has run in one process of an upgrade must not be granted by
+// another, while both run, after the older one has ended or was killed, and at a second upgrade. What has not run may be.
+func TestEffectsAreKnownThroughoutUpgrades(t *testing.T) {
+	const operator = `{"decisions":{"listen":"127.0.0.1:0"}}`
+	r := newUpgradeRig(t, standin.Options{}, 15*time.Second, true)
+	first := r.start(operator)
+	firstCaller := r.newCaller(first)
+	firstCaller.carry("alone", decisionspb.Fate_FATE_BEGUN)
+	second := r.start(operator)
+	secondCaller := r.newCaller(second)
+	firstCaller.carry("beside", decisionspb.Fate_FATE_BEGUN)
+	firstCaller.carry("rejected", decisionspb.Fate_FATE_TURNED_AWAY)
+	secondCaller.carry("newer", decisionspb.Fate_FATE_BEGUN)
+	for _, id := range []string{"alone", "beside"} {
+		secondCaller.check("both run", id, codes.Aborted)
+	}
+	firstCaller.check("both run", "newer", codes.Aborted)
+	secondCaller.check("both run", "rejected", codes.OK)
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	first.waitLog(t, "msg=(ended)")
+	for _, id := range []string{"alone", "beside", "newer"} {
+		secondCaller.check("the older process has ended", id, codes.Aborted)
+	}
+	third := r.start(operator)
+	thirdCaller := r.newCaller(third)
+	secondCaller.carry("last", decisionspb.Fate_FATE_BEGUN)
+	second.cmd.Process.Kill()
+	second.cmd.Wait()
+	third.waitLog(t, `msg="another process of this router" .*runs=(false)`)
+	for _, id := range []string{"alone", "beside", "newer", "last"} {
+		thirdCaller.check("the second process was killed", id, codes.Aborted)
+	}
+	thirdCaller.check("the second process was killed", "other", codes.OK)
+}
+
+// Guards against a send-message that runs twice where the shared folder is removed while two processes run: neither can tell any
+// more what the other has granted, and both refuse.
+func TestEffectsAreNotRiskedWithoutSharedFolder(t *testing.T) {
+	const operator = `{"decisions":{"listen":"127.0.0.1:0"}}`
+	r := newUpgradeRig(t, standin.Options{}, 15*time.Second, true)
+	first := r.start(operator)
+	second := r.start(operator)
+	firstCaller, secondCaller := r.newCaller(first), r.newCaller(second)
+	secondCaller.check("both run", "a", codes.OK)
+	if err := os.RemoveAll(os.Getenv("TMPDIR")); err != nil {
+		t.Fatal(err)
+	}
+	firstCaller.check("no folder", "b", codes.Unavailable)
+	secondCaller.check("no folder", "c", codes.Unavailable)
+}
--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -23,6 +23,7 @@
 
 	"rowanyard/decide"
 	"rowanyard/internal/core"
+	"rowanyard/internal/effectlog"
 	"rowanyard/internal/grant"
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/openids"
@@ -53,6 +54,7 @@
 	finalOrder       []string // keys of finals, oldest first
 	advanceScheduled bool
 	streams          map[uint64]*stream       // responses relayed by callers, by grant
+	effects          *effectlog.Log           // shared with other processes of the router
 	watchers         map[string]chan struct{} // wakes the stream of each caller that watches
 }
 
@@ -71,6 +73,7 @@
 	caller       string
 	readHere     bool
 	singleWrite  bool // there is only one grant
+	unsafe       bool // it must not run twice
 	span         trace.Span
 	outcome      chan error              // receives how the request ended; nil means that its response has started
 	cancel       context.CancelCauseFunc // called when the caller has gone
@@ -130,7 +133,7 @@
 // NewCoordinator returns a Coordinator. It must be called before the core starts to report changes of workers.
 func NewCoordinator(c *core.Core, w *httpfront.Workers, config grant.Config, observer Observer, log *slog.Logger) (*Coordinator, error) {
 	d := &Coordinator{core: c, workers: w, log: log, config: config, start: time.Now(), observer: observer, delegations: make(map[string]*delegation),
-		finals: make(map[string]finalAnswer), streams: make(map[uint64]*stream), watchers: make(map[string]chan struct{})}
+		finals: make(map[string]finalAnswer), streams: make(map[uint64]*stream), watchers: make(map[string]chan struct{}), effects: &effectlog.Log{}}
 	if d.observer.Tracer == nil {
 		d.observer.Tracer = noop.NewTracerProvider().Tracer("")
 	}
@@ -280,8 +283,12 @@
 		d.log.Info("refused", "why", err, "txn", a.Request)
 		return nil, &Refused{d.core.BusyRetryAfter()}
 	}
+	if err := d.checkEffects(a); err != nil {
+		releaseID()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s := &delegation{id: a.Request, caller: a.Caller, readHere: a.ReadHere, singleWrite: a.SingleWrite, outcome: make(chan error, 1), cancel: cancel, releaseID: releaseID,
+	s := &delegation{id: a.Request, caller: a.Caller, readHere: a.ReadHere, singleWrite: a.SingleWrite, unsafe: a.NonIdempotent, outcome: make(chan error, 1), cancel: cancel, releaseID: releaseID,
 		choice: &choice{done: make(chan struct{})}, estimate: a.Query.DurationHint}
 	_, s.span = d.observer.Tracer.Start(ctx, "request", trace.WithAttributes(attribute.String("caller", a.Caller),
 		attribute.String("request", a.Request), attribute.Int("class", a.Class)))
@@ -386,7 +393,7 @@
 		o.result <- core.Result{Status: decide.Unsent}
 		return
 	}
-	g, err := d.table.Offer(d.now(), s.id, o.To.ID, o.Read, o.Remaining())
+	g, err := d.offer(s, o)
 	var busy *grant.BusyError
 	switch {
 	case errors.As(err, &busy): // the ledger is full: the request is refused, nothing has run
@@ -400,6 +407,23 @@
 	}
 }
 
+// offer has the Table grant an attempt, once other processes have been told that the request may run.
+func (d *Coordinator) offer(s *delegation, o *offer) (*grant.Grant, error) {
+	timeout := o.Remaining()
+	mayRun := s.unsafe && !o.Read
+	if mayRun {
+		if err := d.recordEffect(s, timeout); err != nil {
+			d.log.Error("other processes can't be told that a request may run: it is refused", "txn", s.id, "err", err)
+			return nil, &grant.BusyError{Err: grant.ErrLedgerFull, RetryAfter: d.core.BusyRetryAfter()}
+		}
+	}
+	g, err := d.table.Offer(d.now(), s.id, o.To.ID, o.Read, timeout)
+	if err != nil && mayRun {
+		d.recordNoEffect(s)
+	}
+	return g, err
+}
+
 // Report records what became of a grant and gives the result to the core.
 func (d *Coordinator) Report(caller string, id uint64, fate grant.Fate, result core.Result, over bool) error {
 	d.mu.Lock()
@@ -413,6 +437,9 @@
 	if s == nil {
 		return nil
 	}
+	if s.unsafe && !g.Read && !d.table.MayHaveRun(s.id) {
+		d.recordNoEffect(s)
+	}
 	if o := s.grantedOffer; o != nil && o.grant == g {
 		s.grantedOffer = nil
 		if fate == grant.Begun {
--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -20,10 +20,26 @@
 	ErrUnknown = errors.New("may be open in another process of this router")
 )
 
+// Publisher is told when other processes need to know more of this one than its open ids, see Registry.Publisher.
+type Publisher interface {
+	// Publish makes what other processes need available to them. It is called before they rely on this process's ids, and
+	// called again after an error: until then they refuse what must not run twice.
+	Publish() error
+	// Unpublish is called once no other process runs any more.
+	Unpublish()
+}
+
 // Registry holds the ids of the open requests of one process. Its methods may be called from several goroutines.
 type Registry struct {
+	// Publisher, if not nil, publishes what else other processes need to know. Set before Join.
+	Publisher Publisher
+
 	log *slog.Logger
 
+	refreshMu   sync.Mutex // serializes Refresh, which calls the Publisher without holding mu
+	published   bool       // by the Publisher
+	unpublished bool       // Unpublish has been called since then, or since the start
+
 	mu         sync.Mutex
 	open       map[string]*claim
 	file       *lockFile    // nil: no other process is told of the ids
@@ -87,10 +103,56 @@
 // new ones when no other does. hiddenRuns reports that a process runs that does not share its ids. Refresh must be called
 // regularly.
 func (r *Registry) Refresh(hiddenRuns bool) {
+	r.refreshMu.Lock()
+	defer r.refreshMu.Unlock()
+	othersRun, err := r.othersRun()
+	if err == nil && othersRun && !r.published {
+		err = r.publish()
+	}
+	certain, alone := r.refresh(othersRun, hiddenRuns, err)
+	if alone && certain && !r.unpublished {
+		r.unpublish()
+	}
+}
+
+// othersRun reports whether other processes run that share their ids.
+func (r *Registry) othersRun() (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.file == nil {
+		return false, nil
+	}
+	return r.file.lockedByOther(runningByte)
+}
+
+func (r *Registry) publish() error {
+	if r.Publisher != nil {
+		if err := r.Publisher.Publish(); err != nil {
+			return err
+		}
+	}
+	r.published, r.unpublished = true, false
+	return nil
+}
+
+func (r *Registry) unpublish() {
+	r.published, r.unpublished = false, true
+	if r.Publisher != nil {
+		r.Publisher.Unpublish()
+	}
+}
+
+// refresh adapts to the processes that run. err is not nil if that is not known, or if this process could not publish what
+// others need. It reports whether the open ids of all other processes are known, and whether none runs that shares its own.
+func (r *Registry) refresh(othersRun, hiddenRuns bool, err error) (certain, alone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	othersRun, err := r.refreshPublishing()
-	if err == nil && othersRun {
+	if err == nil {
+		err = r.setPublishing(othersRun)
+	} else if r.publishing && !r.published {
+		err = errors.Join(err, r.stopPublishing())
+	}
+	if err == nil && r.publishing && othersRun {
 		var unpublished bool
 		unpublished, err = r.file.lockedByOther(unpublishedByte)
 		hiddenRuns = hiddenRuns || unpublished
@@ -102,29 +164,21 @@
 		hiddenRuns = hiddenRuns || r.checkMarks
 	}
 	r.setUnknown(hiddenRuns || err != nil, err)
+	return !r.unknown, !r.publishing
 }
 
-// refreshPublishing reports whether other processes run that share their ids, and publishes the ids of this one if so. A
-// process marks itself as unpublished before it looks for others, and a new process marks itself as running before it looks
-// for unpublished ones, so that they can't miss each other.
-func (r *Registry) refreshPublishing() (othersRun bool, err error) {
-	if r.file == nil {
-		return false, nil
-	}
-	if othersRun, err = r.file.lockedByOther(runningByte); err != nil || othersRun == r.publishing {
-		return othersRun, err
-	}
-	if !othersRun {
-		if err := r.file.readLock(unpublishedByte); err != nil {
-			return false, err
-		}
-		if othersRun, err = r.file.lockedByOther(runningByte); err != nil || othersRun {
-			return othersRun, errors.Join(err, r.file.unlock(unpublishedByte))
-		}
-		r.publishing = false
-		r.log.Debug("ids of open requests are kept in this process only")
-		return false, nil
+// setPublishing publishes the ids once another process runs, and stops when none does.
+func (r *Registry) setPublishing(othersRun bool) error {
+	switch {
+	case r.file == nil || othersRun == r.publishing:
+		return nil
+	case othersRun:
+		return r.startPublishing()
 	}
+	return r.stopPublishing()
+}
+
+func (r *Registry) startPublishing() error {
 	for id, c := range r.open {
 		if !c.locked {
 			r.lock(id, c)
@@ -132,7 +186,22 @@
 	}
 	r.publishing = true
 	r.log.Info("ids of open requests are shared with another process", "open", len(r.open))
-	return true, r.file.unlock(unpublishedByte)
+	return r.file.unlock(unpublishedByte)
+}
+
+// stopPublishing marks this process as unpublished before it looks for others, and a new process marks itself as running
+// before it looks for unpublished ones, so that they can't miss each other.
+func (r *Registry) stopPublishing() error {
+	if err := r.file.readLock(unpublishedByte); err != nil {
+		return err
+	}
+	othersRun, err := r.file.lockedByOther(runningByte)
+	if err != nil || othersRun && r.published {
+		return errors.Join(err, r.file.unlock(unpublishedByte))
+	}
+	r.publishing = false
+	r.log.Debug("ids of open requests are kept in this process only")
+	return nil
 }
 
 // lock publishes an id that was claimed while it was not published.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -45,6 +45,7 @@
 	Standby     func(on bool) // makes the fronts shed their clients, or accept them again
 	Serving     func() bool   // reports whether the fronts are open
 	OpenIDs     *openids.Registry
+	OnNumber    func(number int) // called with the number of this process before it shares its open ids; may be nil
 	Log         *slog.Logger
 
 	mu      sync.Mutex
@@ -65,6 +66,9 @@
 		}
 		st.Started = max(st.Started, c.number)
 	})
+	if c.OnNumber != nil {
+		c.OnNumber(c.number)
+	}
 	c.showProcess()
 	c.refreshOpenIDs()
 }
--- a/internal/operator/sharedstate.go
+++ b/internal/operator/sharedstate.go
@@ -152,6 +152,15 @@
 	return slices.DeleteFunc(s.processNumbers(), func(number int) bool { return number == own || !s.IsRunning(number) })
 }
 
+// EffectsPath returns the start of the paths of the files by which processes share the ledger of effects, or "" if nothing is
+// shared.
+func (s *SharedState) EffectsPath() string {
+	if s.path == "" {
+		return ""
+	}
+	return s.path + ".effects"
+}
+
 // openIDsPath returns the path of the file by which processes share the ids of their open requests, or "" if nothing is
 // shared.
 func (s *SharedState) openIDsPath() string {
