The id of a response that a caller relays stays open until the response ends

Cause: the Coordinator released the id when Core.Serve returned, which for a stream is its beginning. It is now released with the stream's end, as the HTTP front does; where a caller reports no end, after the response's estimate.

TestIDStaysOpenWhileResponseIsRelayed fails on the code before.

--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -305,11 +305,11 @@
 func (d *Coordinator) serve(ctx context.Context, s *delegation, a ChooseCall) {
 	answer := d.core.Serve(ctx, a.Query, &delegatedTransport{Exchange: a.Exchange, coordinator: d, delegation: s})
 	s.cancel(ErrCallerGone)
-	s.releaseID()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var err error
 	if answer.Verdict != core.Streaming {
+		s.releaseID()
 		delete(d.streams, s.startedGrant) // the start was reported too late
 	}
 	switch answer.Verdict {
@@ -543,13 +543,18 @@
 	d.core.ReleaseAnywhere(leftoverReleaseTimeout, func(ctx context.Context, at core.Worker) error { return d.workers.Release(ctx, at, id) })
 }
 
-// trackStream counts a response relayed by a caller at its writer until it ends, or for its expected duration.
+// trackStream counts a response relayed by a caller at its writer, and keeps the request's id, until it ends, or for its
+// expected duration.
 func (d *Coordinator) trackStream(s *delegation, answer core.Answer) {
 	id := s.startedGrant
 	x := d.streams[id]
+	onEnd := func(status decide.Status) {
+		s.releaseID()
+		answer.StreamEnded(status)
+	}
 	if x.endStatus != 0 {
 		delete(d.streams, id)
-		go answer.StreamEnded(x.endStatus)
+		go onEnd(x.endStatus)
 		return
 	}
 	lifetime := min(s.estimate, maxStreamEstimate)
@@ -557,10 +562,10 @@
 		lifetime = time.Hour
 	} else if len(d.streams) > d.config.MaxOpenRequests { // bounds the memory if callers never report the ends of their responses
 		delete(d.streams, id)
-		go answer.StreamEnded(decide.Served)
+		go onEnd(decide.Served)
 		return
 	}
-	x.onEnd = answer.StreamEnded
+	x.onEnd = onEnd
 	x.timer = time.AfterFunc(lifetime, func() { d.Ended(s.caller, id, decide.Served) })
 }
 
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -31,6 +32,7 @@
 	"rowanyard/internal/decisions/pb"
 	"rowanyard/internal/grant"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/openids"
 	"rowanyard/internal/standin"
 	"rowanyard/internal/wire"
 )
@@ -241,6 +243,43 @@
 	}
 }
 
+// Guards against a request that another front serves under the id of a response that a caller relays: the id stays open until
+// the end of the response.
+func TestIDStaysOpenWhileResponseIsRelayed(t *testing.T) {
+	b := start(t, standin.Options{})
+	c := b.caller("p1")
+	const class = "draft-reply" // the ledger does not keep its requests from being served again
+	read := c.must(c.Choose(c.ctx(), &pb.ChooseRequest{Request: "q1", Class: class, PromptTokens: 100, FirstTokenWithin: durationpb.New(5 * time.Second),
+		Estimate: durationpb.New(time.Minute)}))
+	if code, text := c.sendAttempt(read, "q1", class, "k"); code != http.StatusAccepted {
+		t.Fatalf("read: %d %s", code, text)
+	}
+	if err := c.report(read, pb.Fate_FATE_READ); err != nil {
+		t.Fatal(err)
+	}
+	write := c.must(c.ask("q1", 1, class))
+	if code, text := c.sendAttempt(write, "q1", class, "k"); code != http.StatusOK {
+		t.Fatalf("write: %d %s", code, text)
+	}
+	outcome := b.coordinator.Outcome("q1")
+	if err := c.report(write, pb.Fate_FATE_BEGUN); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-outcome; err != nil { // the core has learned of the start
+		t.Fatal(err)
+	}
+	if _, err := b.core.ClaimID("q1", 0); !errors.Is(err, openids.ErrOpen) {
+		t.Errorf("claim while the response is relayed: %v, want %v", err, openids.ErrOpen)
+	}
+	if err := c.report(write, pb.Fate_FATE_ENDED); err != nil {
+		t.Fatal(err)
+	}
+	b.waitSettled()
+	if _, err := b.core.ClaimID("q1", 0); err != nil {
+		t.Errorf("claim after the end of the response: %v", err)
+	}
+}
+
 // blockingTracer delays the core's processing of a write's reported result until release is closed.
 type blockingTracer struct {
 	noop.Tracer
