The id of a stream that was handed over is free before its client sees the end

Cause: with ids that stay open for handed-over streams, the receiving side freed the id after it had closed the client's connection. A client that sends the id again at once, as one does that asks for the rest, could have been answered with 409. A stream that broke as its handover failed had the reverse fault: the socket in the queue of a process that stands still kept the connection open, and the client waited (145 s in a test) for an end.

Now the id is released before the last chunk or the close, and a connection whose handover failed is shut down, not only closed.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -33,6 +33,9 @@
 	answerPending atomic.Bool  // a request has been passed to net/http and its answer is not complete
 	socket        socketState
 	arrivedAt     atomic.Int64 // when the first byte of the current head was read, since epoch
+	// handOverFailed is set if the socket may also be in the queue of a process that stands still. The connection then has
+	// to be ended before it is closed.
+	handOverFailed atomic.Bool
 
 	pipelined      atomic.Int32 // pipelined requests read after the current one
 	answerComplete atomic.Bool  // refusals may follow the current request's answer
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -135,6 +135,9 @@
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
 	c.owner.mu.Unlock()
+	if c.handOverFailed.Load() {
+		shutDown(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -78,10 +78,6 @@
 	return nil
 }
 
-// breakStream ends a client's connection in the middle of a stream that could not be handed over. Closing it is not enough:
-// the other process may stand still with the socket in its queue.
-func breakStream(client int) { _ = syscall.Shutdown(client, syscall.SHUT_RDWR) }
-
 // sendStream sends a stream's position and its sockets to the process that listens at path, and returns once that process
 // has accepted them. After an error it has not and never will. The sockets stay open in this process.
 func sendStream(path string, position streamPosition, client, worker int) error {
@@ -144,6 +140,17 @@
 	return fd, dupErr
 }
 
+// shutDown ends a connection, whichever processes have its socket open.
+func shutDown(c net.Conn) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := s.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+}
+
 // StreamReceiver receives streams from an older process, or from its own, and relays the rest of them to their clients.
 type StreamReceiver struct {
 	front      *Front
@@ -263,7 +270,6 @@
 	h.running.Begin()
 	go func() {
 		defer h.running.End()
-		defer s.releaseID()
 		s.run()
 	}()
 	return nil
@@ -286,13 +292,15 @@
 	chunk          chunkScanner
 	events         eventScanner
 	pipelined      atomic.Int32 // requests that were read behind the one being answered
-	kept           bool         // it could not be handed over and goes on here
+	handOverFailed bool         // it goes on here, or breaks if clients request the rest
 }
 
-// run relays the rest of the stream and then closes the client's connection.
+// run relays the rest of the stream and then closes the client's connection. The id is free by then: the client may send it
+// again at once.
 func (s *receivedStream) run() {
-	defer s.client.Close()
+	defer s.closeClient()
 	defer s.worker.Close()
+	defer s.releaseID()
 	// Once the client has left, closing the worker's connection ends the stream.
 	go func() {
 		s.readAhead()
@@ -320,6 +328,7 @@
 			return
 		case end:
 			if s.events.lineBytes == 0 {
+				s.releaseID()
 				_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
 				_, _ = s.client.Write([]byte("0\r\n\r\n"))
 				writeRefusals(s.client, s.receiver.retryAfter, int(s.pipelined.Load()))
@@ -333,6 +342,15 @@
 	}
 }
 
+// closeClient closes the client's connection. After a handover that failed, the socket may also be in the queue of a process
+// that stands still, so that closing it would not end the connection.
+func (s *receivedStream) closeClient() {
+	if s.handOverFailed {
+		shutDown(s.client)
+	}
+	s.client.Close()
+}
+
 // readAhead reads what the client sends until it leaves and counts the requests in it. If the older process had read
 // requests already, it does not count: the data may begin in the middle of a request, and the refusal of the earlier ones
 // announces the close, which covers the later ones.
@@ -359,13 +377,14 @@
 }
 
 // handOverDue reports whether the stream is to be handed over to the next process.
-func (s *receivedStream) handOverDue() bool { return s.receiver.cutCtx.Err() != nil && !s.kept }
+func (s *receivedStream) handOverDue() bool {
+	return s.receiver.cutCtx.Err() != nil && !s.handOverFailed
+}
 
 // handOver hands the stream over to the next process. It reports whether the stream goes on in this one.
 func (s *receivedStream) handOver() (kept bool) {
-	err := s.sendToSuccessor()
-	s.kept = err != nil && !s.receiver.front.CutStreams
-	return s.kept
+	s.handOverFailed = s.sendToSuccessor() != nil
+	return s.handOverFailed && !s.receiver.front.CutStreams
 }
 
 func (s *receivedStream) sendToSuccessor() error {
@@ -381,9 +400,5 @@
 	defer syscall.Close(worker)
 	position := streamPositionOf(s.chunk, s.events)
 	position.Behind, position.ID = int(s.pipelined.Load()), s.id
-	err = s.receiver.front.handOverStream(position, client, worker)
-	if err != nil && s.receiver.front.CutStreams {
-		breakStream(client)
-	}
-	return err
+	return s.receiver.front.handOverStream(position, client, worker)
 }
--- a/internal/httpfront/handover_test.go
+++ b/internal/httpfront/handover_test.go
@@ -117,6 +117,10 @@
 				if _, err := io.ReadAll(readHead(t, in).Body); err == nil {
 					t.Error("the stream has ended as if it were complete")
 				}
+				// The client may request the rest under the same id as soon as it sees the end.
+				if _, err := f.core.ClaimID("one", 0); err != nil {
+					t.Errorf("the id of a stream that broke: %v", err)
+				}
 			} else {
 				if _, err := f.core.ClaimID("one", 0); !errors.Is(err, openids.ErrOpen) {
 					t.Errorf("claim of the stream's id: %v, want %v", err, openids.ErrOpen)
@@ -125,7 +129,7 @@
 				readStream(t, in)
 			}
 			receive(t, ended, "the end of Shutdown")
-			if _, err := f.core.ClaimID("one", 0); err != nil {
+			if _, err := f.core.ClaimID("one", 0); !x.resume && err != nil {
 				t.Errorf("the id of a stream that is over: %v", err)
 			}
 		})
@@ -168,5 +172,8 @@
 	}
 	goOn <- struct{}{}
 	readStream(t, in)
+	if _, err := newer.core.ClaimID("one", 0); err != nil {
+		t.Errorf("the id of a stream that is over: %v", err)
+	}
 	receive(t, ended, "the end of Shutdown")
 }
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -102,9 +102,7 @@
 	if err != nil && !r.front.CutStreams {
 		return r.front.keptStreams.startStream(position, []int{client, worker}, nil) == nil
 	}
-	if err != nil {
-		breakStream(client)
-	}
+	r.conn.handOverFailed.Store(err != nil)
 	syscall.Close(client)
 	syscall.Close(worker)
 	return err == nil
