Test open ids at each front of another process; split the handover's two sides

The tests of upgrades stand in upgrade_test.go now, and what relays streams that were received in receivedstream.go: handover.go had grown to 400 lines. Only moved, nothing changed. TestOpenIDIsRefusedAtEachFrontOfAnotherProcess asks for an id that is open at the HTTP front of the old process at the gRPC front (ALREADY_EXISTS), the decision service (PERMISSION_DENIED) and the external processor (409) of the new one.

--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -25,6 +26,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	decisionspb "rowanyard/internal/decisions/pb"
+	"rowanyard/internal/extproc"
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/standin"
 )
@@ -135,6 +137,104 @@
 	}
 }
 
+// A newer process takes over at the same address. No request may be lost meanwhile, and workers that are out for maintenance
+// in the older process stay out in the newer one.
+func TestAnUpgradeLosesNothingAndKeepsTheBan(t *testing.T) {
+	t.Setenv("ROUTER_OPERATOR", "127.0.0.1:0")
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(standin.Options{Writers: 2, Tokens: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	old := startProgram(t, fleet.Config("127.0.0.1:0"), "")
+	old.operatorURL = "http://" + old.waitLog(t, `msg=serving .*front=operator listen=(\S+)`)
+	addr := old.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	old.http = "http://" + addr
+	for path, want := range map[string]int{"enter?who=writer-1": 200, "enter?who=nobody": 404, "exit?who=nobody": 404, "enter": 400, "enter?who=": 400} {
+		if code := old.callOperator(t, "POST", "/maintenance/"+path); code != want {
+			t.Errorf("%s: %d, want %d", path, code, want)
+		}
+	}
+	old.callOperator(t, "POST", "/maintenance/enter?who=writer-1") // the call is idempotent
+	sendRequest := func(id string) {
+		t.Helper()
+		req := newRequest(old, id, "send-message")
+		req.Close = true // a new connection for each request
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(id, err)
+		}
+		text, err := io.ReadAll(res.Body)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatal(id, res.StatusCode, err, string(text))
+		}
+	}
+	sendRequest("u0")
+	next := startProgram(t, fleet.Config(addr), "")
+	next.operatorURL = "http://" + next.waitLog(t, `msg=serving .*front=operator listen=(\S+)`)
+	next.waitLog(t, `msg="(taking over)"`)
+	next.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	for i := range 20 {
+		sendRequest(fmt.Sprint("both", i))
+	}
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, `msg=draining .*handed_on=(true)`)
+	for i := range 20 {
+		sendRequest(fmt.Sprint("after", i))
+		if res, err := http.Get(old.http + "/health/ready"); err != nil || res.StatusCode != 200 {
+			t.Fatal("not ready during the takeover", res, err)
+		}
+	}
+	old.waitLog(t, "msg=(ended)")
+	if n := fleet.CallsTo("writer-1"); n != 0 {
+		t.Errorf("%d requests to a worker in maintenance", n)
+	}
+	if code := next.callOperator(t, "POST", "/maintenance/exit?who=writer-1"); code != 200 {
+		t.Errorf("maintenance exit: %d", code)
+	}
+	for i := 0; fleet.CallsTo("writer-1") == 0; i++ {
+		if i == 200 {
+			t.Fatal("a worker gets no request after maintenance")
+		}
+		sendRequest(fmt.Sprint("back", i))
+	}
+}
+
+// A stream that runs when the older process ends continues in the newer one, byte for byte, without a second read or write
+// at the workers.
+func TestStreamContinuesInNextProcess(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	fleet, err := standin.Start(standin.Options{Tokens: 120, TokenInterval: 50 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	old := startProgram(t, fleet.Config("127.0.0.1:0"), "")
+	addr := old.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	old.http = "http://" + addr
+	res, err := http.DefaultClient.Do(newRequest(old, "h1", "send-message"))
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	next := startProgram(t, fleet.Config(addr), "")
+	next.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, `msg="streams handed over" .*streams=(1)$`)
+	old.waitLog(t, "msg=(ended)")
+	last := startProgram(t, fleet.Config(addr), "") // the stream is handed over a second time
+	last.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	next.cmd.Process.Signal(syscall.SIGTERM)
+	next.waitLog(t, `msg="streams handed over" .*streams=(1)$`)
+	text, err := io.ReadAll(res.Body)
+	if err != nil || strings.Count(string(text), "data: ") != 122 || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+		t.Errorf("%v: %q", err, text)
+	}
+	if fleet.Effects()["send-message h1"] != 1 || fleet.Calls("read", "h1") != 1 {
+		t.Errorf("effects %v, read %d times", fleet.Effects(), fleet.Calls("read", "h1"))
+	}
+}
+
 // Guards against a send-message that runs twice: an id that is open in one process of an upgrade must be refused by each other
 // one, while both accept, after SIGTERM, once its stream was handed over, and at a second upgrade.
 func TestOpenIDIsRefusedThroughoutUpgrades(t *testing.T) {
@@ -300,11 +400,7 @@
 func TestGRPCStreamsEndWithDataLossBeforeTheKill(t *testing.T) {
 	r := newUpgradeRig(t, standin.Options{Tokens: 1000, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
 	p := startProgram(t, r.config(), `{"grpc":{"listen":"127.0.0.1:0"}}`)
-	conn, err := grpc.NewClient("passthrough:///"+p.waitLog(t, `msg=serving .*front=grpc listen=(\S+)`), grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	conn := dial(t, p.waitLog(t, `msg=serving .*front=grpc listen=(\S+)`))
 	p.waitLog(t, `msg=serving .*front=(http)`)
 	stream, err := pb.NewCompletionsClient(conn).Complete(t.Context(), &pb.CompleteRequest{Id: "g", Class: "send-message", PromptTokens: 40,
 		FirstTokenWithin: durationpb.New(shortDeadline), Messages: []*pb.Message{{Role: "user", Content: "g"}}})
@@ -332,12 +428,7 @@
 
 func (r *upgradeRig) newCaller(p *program) decisionsCaller {
 	r.t.Helper()
-	conn, err := grpc.NewClient("passthrough:///"+p.decisionsAddr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	r.t.Cleanup(func() { conn.Close() })
-	return decisionsCaller{decisionspb.NewDecisionsClient(conn), r.t}
+	return decisionsCaller{decisionspb.NewDecisionsClient(dial(r.t, p.decisionsAddr)), r.t}
 }
 
 func (c decisionsCaller) context() context.Context {
@@ -421,3 +512,42 @@
 	firstCaller.check("no folder", "b", codes.Unavailable)
 	secondCaller.check("no folder", "c", codes.Unavailable)
 }
+
+// Guards against a send-message that runs twice by way of another front: an id that is open at the HTTP front of one process is
+// refused at each front of another.
+func TestOpenIDIsRefusedAtEachFrontOfAnotherProcess(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: 40, TokenInterval: 50 * time.Millisecond}, 15*time.Second, true)
+	first := r.start("")
+	stream := r.send(first, "a", "send-message")
+	second := startProgram(t, r.config(), `{"grpc":{"listen":"127.0.0.1:0"},"decisions":{"listen":"127.0.0.1:0"},"ext_proc":{"listen":"127.0.0.1:0"}}`)
+	grpcConn := dial(t, second.waitLog(t, `msg=serving .*front=grpc listen=(\S+)`))
+	processor := dial(t, second.waitLog(t, `msg=serving .*front=ext_proc listen=(\S+)`))
+	second.waitLog(t, `msg=serving .*front=(http)`)
+	call, err := pb.NewCompletionsClient(grpcConn).Complete(t.Context(), &pb.CompleteRequest{Id: "a", Class: "send-message", PromptTokens: 40,
+		FirstTokenWithin: durationpb.New(time.Second), Messages: []*pb.Message{{Role: "user", Content: "a"}}})
+	if err == nil {
+		_, err = call.Recv()
+	}
+	if status.Code(err) != codes.AlreadyExists {
+		t.Errorf("gRPC: %v, want %v", err, codes.AlreadyExists)
+	}
+	r.newCaller(second).check("decisions", "a", codes.PermissionDenied)
+	answer := httptest.NewRecorder()
+	proxy := &standin.Proxy{Processor: processor, Destination: extproc.DestinationHeader, Transport: http.DefaultTransport}
+	proxy.ServeHTTP(answer, newRequest(second, "a", "send-message"))
+	if answer.Code != http.StatusConflict {
+		t.Errorf("ext_proc: %d, want %d", answer.Code, http.StatusConflict)
+	}
+	r.checkStream(stream, "a")
+}
+
+// dial returns a connection to a gRPC server.
+func dial(t *testing.T, address string) *grpc.ClientConn {
+	t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
--- /dev/null
+++ b/internal/httpfront/receivedstream.go
@@ -0,0 +1,264 @@
+package httpfront
+
+// Streams that another process has handed over to this one, and those that it could not hand over: this process relays the
+// rest of them from socket to socket.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"rowanyard/internal/acceptretry"
+	"rowanyard/internal/inflight"
+	"rowanyard/internal/openids"
+)
+
+// StreamReceiver receives streams from an older process, or from its own, and relays the rest of them to their clients.
+type StreamReceiver struct {
+	front      *Front
+	listener   *net.UnixListener // nil if the streams come from this process
+	ids        *openids.Registry
+	log        *slog.Logger
+	retryAfter string          // the Retry-After line of refusals, may be empty
+	cutCtx     context.Context // once it is done the streams are handed over to the next process
+
+	running inflight.Counter
+}
+
+// ReceiveStreams listens on a Unix socket at path for the streams of an older process until Shutdown is called.
+func (f *Front) ReceiveStreams(path string) error {
+	_ = os.Remove(path)
+	listener, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		return err
+	}
+	h := &StreamReceiver{front: f, listener: listener, ids: f.core.OpenIDs, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx}
+	f.mu.Lock()
+	f.receiver = h
+	f.mu.Unlock()
+	go h.serve()
+	return nil
+}
+
+// stop stops receiving streams and waits until the running ones end or ctx is done.
+func (h *StreamReceiver) stop(ctx context.Context) {
+	h.listener.Close()
+	h.running.Wait(ctx)
+}
+
+func (h *StreamReceiver) serve() {
+	for {
+		c, err := acceptretry.Do(h.listener.AcceptUnix)
+		if err != nil {
+			return
+		}
+		if err := h.receiveStream(c); err != nil {
+			h.log.Warn("a stream was not taken over", "err", err)
+		}
+		c.Close()
+	}
+}
+
+// receiveStream receives one stream from c, confirms it to the older process and starts to relay it.
+func (h *StreamReceiver) receiveStream(c *net.UnixConn) error {
+	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
+	text, rights := make([]byte, maxPositionBytes), make([]byte, syscall.CmsgSpace(handOverSockets*4))
+	n, m, _, _, err := c.ReadMsgUnix(text, rights)
+	if err != nil {
+		return err
+	}
+	var fds []int
+	if all, err := syscall.ParseSocketControlMessage(rights[:m]); err == nil {
+		for _, message := range all {
+			got, _ := syscall.ParseUnixRights(&message)
+			fds = append(fds, got...)
+		}
+	}
+	var position streamPosition
+	if err := json.Unmarshal(text[:n], &position); err != nil {
+		closeAll(fds)
+		return err
+	}
+	return h.startStream(position, fds, func() error {
+		_, err := c.Write([]byte("+")) // from now on the older process may release the id
+		return err
+	})
+}
+
+func closeAll(fds []int) {
+	for _, fd := range fds {
+		syscall.Close(fd)
+	}
+}
+
+// startStream starts to relay the rest of a stream. fds are the sockets of its client and its worker, which it closes.
+// confirm, if not nil, is called right before.
+func (h *StreamReceiver) startStream(position streamPosition, fds []int, confirm func() error) error {
+	var conns []net.Conn
+	for _, fd := range fds {
+		file := os.NewFile(uintptr(fd), "handed")
+		if conn, err := net.FileConn(file); err == nil {
+			conns = append(conns, conn)
+		}
+		file.Close()
+	}
+	s := &receivedStream{receiver: h, id: position.ID, releaseID: h.adoptID(position.ID)}
+	s.pipelined.Store(int32(position.Behind))
+	var err error
+	s.chunk, s.events, err = position.scanners()
+	if len(conns) != handOverSockets && err == nil {
+		err = fmt.Errorf("received %d sockets of %d", len(conns), handOverSockets)
+	}
+	if err == nil && confirm != nil {
+		err = confirm()
+	}
+	if err != nil {
+		s.releaseID()
+		for _, conn := range conns {
+			conn.Close()
+		}
+		return err
+	}
+	s.client, s.worker = conns[0], conns[1]
+	h.running.Begin()
+	go func() {
+		defer h.running.End()
+		s.run()
+	}()
+	return nil
+}
+
+// adoptID reserves the id of a stream that is received until release is called.
+func (h *StreamReceiver) adoptID(id string) (release func()) {
+	if !ValidID(id) {
+		return func() {}
+	}
+	return h.ids.Adopt(id)
+}
+
+// receivedStream relays the rest of a stream that an older process began.
+type receivedStream struct {
+	receiver       *StreamReceiver
+	id             string // of the request, empty if it is not known
+	releaseID      func()
+	client, worker net.Conn
+	chunk          chunkScanner
+	events         eventScanner
+	pipelined      atomic.Int32 // requests that were read behind the one being answered
+	handOverFailed bool         // it goes on here, or breaks if clients request the rest
+}
+
+// run relays the rest of the stream and then closes the client's connection. The id is free by then: the client may send it
+// again at once.
+func (s *receivedStream) run() {
+	defer s.closeClient()
+	defer s.worker.Close()
+	defer s.releaseID()
+	// Once the client has left, closing the worker's connection ends the stream.
+	go func() {
+		s.readAhead()
+		s.worker.Close()
+	}()
+	defer context.AfterFunc(s.receiver.cutCtx, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
+	buf, out := make([]byte, copyBufferBytes), []byte(nil)
+	s.chunk.onData = func(p []byte) { out = append(out, p...) }
+	for {
+		_ = s.worker.SetReadDeadline(time.Now().Add(StreamStallTimeout))
+		// This comes second, as the deadline just set may have replaced the one set by AfterFunc.
+		if s.handOverDue() && !s.handOver() {
+			return
+		}
+		n, err := s.worker.Read(buf)
+		out = out[:0]
+		_, end, chunkErr := s.chunk.feed(buf[:n])
+		valid, _, eventErr := s.events.feed(out)
+		if valid > 0 && s.writeChunk(out[:valid]) != nil {
+			return
+		}
+		switch {
+		case chunkErr != nil || eventErr != nil:
+			s.receiver.log.Info("stream broke off", "handed", true, "err", errors.Join(chunkErr, eventErr))
+			return
+		case end:
+			if s.events.lineBytes == 0 {
+				s.releaseID()
+				_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+				_, _ = s.client.Write([]byte("0\r\n\r\n"))
+				writeRefusals(s.client, s.receiver.retryAfter, int(s.pipelined.Load()))
+			}
+			return
+		case err != nil && s.handOverDue(): // it was interrupted for this
+		case err != nil:
+			s.receiver.log.Info("stream broke off", "handed", true, "err", err)
+			return
+		}
+	}
+}
+
+// closeClient closes the client's connection. After a handover that failed, the socket may also be in the queue of a process
+// that stands still, so that closing it would not end the connection.
+func (s *receivedStream) closeClient() {
+	if s.handOverFailed {
+		shutDown(s.client)
+	}
+	s.client.Close()
+}
+
+// readAhead reads what the client sends until it leaves and counts the requests in it. If the older process had read
+// requests already, it does not count: the data may begin in the middle of a request, and the refusal of the earlier ones
+// announces the close, which covers the later ones.
+func (s *receivedStream) readAhead() {
+	counting := s.pipelined.Load() == 0
+	var text []byte
+	for buf := make([]byte, readBufferStep); ; {
+		n, err := s.client.Read(buf)
+		if err != nil {
+			return
+		}
+		if text = append(text, buf[:min(n, maxReadAhead-len(text))]...); counting {
+			s.pipelined.Store(int32(countRequests(text)))
+		}
+	}
+}
+
+// writeChunk writes p to the client as one chunk.
+func (s *receivedStream) writeChunk(p []byte) error {
+	_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+	chunk := fmt.Appendf(make([]byte, 0, len(p)+16), "%x\r\n", len(p))
+	_, err := s.client.Write(append(append(chunk, p...), "\r\n"...))
+	return err
+}
+
+// handOverDue reports whether the stream is to be handed over to the next process.
+func (s *receivedStream) handOverDue() bool {
+	return s.receiver.cutCtx.Err() != nil && !s.handOverFailed
+}
+
+// handOver hands the stream over to the next process. It reports whether the stream goes on in this one.
+func (s *receivedStream) handOver() (kept bool) {
+	s.handOverFailed = s.sendToSuccessor() != nil
+	return s.handOverFailed && !s.receiver.front.CutStreams
+}
+
+func (s *receivedStream) sendToSuccessor() error {
+	client, err := dup(s.client)
+	if err != nil {
+		return err
+	}
+	defer syscall.Close(client)
+	worker, err := dup(s.worker)
+	if err != nil {
+		return err
+	}
+	defer syscall.Close(worker)
+	position := streamPositionOf(s.chunk, s.events)
+	position.Behind, position.ID = int(s.pipelined.Load()), s.id
+	return s.receiver.front.handOverStream(position, client, worker)
+}
