Processes that took the same number do not share files; a failed handover ends the worker too

The number is locked for one process now; the other shares nothing and refuses what must not run twice until the older one has ended (TestProcessesWithTheSameNumber). After a handover that failed, the worker's socket is shut down like the client's where the stream breaks: it may stay in the queue of a process that stands still, and the worker would go on for nobody.

--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -158,8 +158,7 @@
 // run relays the rest of the stream and then closes the client's connection. The id is free by then: the client may send it
 // again at once.
 func (s *receivedStream) run() {
-	defer s.closeClient()
-	defer s.worker.Close()
+	defer s.closeConns()
 	defer s.releaseID()
 	// Once the client has left, closing the worker's connection ends the stream.
 	go func() {
@@ -202,13 +201,15 @@
 	}
 }
 
-// closeClient closes the client's connection. After a handover that failed, the socket may also be in the queue of a process
-// that stands still, so that closing it would not end the connection.
-func (s *receivedStream) closeClient() {
-	if s.handOverFailed {
-		shutDown(s.client)
+// closeConns closes both connections. After a handover that failed, their sockets may also be in the queue of a process that
+// stands still, so that closing them would not end the connections.
+func (s *receivedStream) closeConns() {
+	for _, c := range []net.Conn{s.worker, s.client} {
+		if s.handOverFailed {
+			shutDown(c)
+		}
+		c.Close()
 	}
-	s.client.Close()
 }
 
 // readAhead reads what the client sends until it leaves and counts the requests in it. If the older process had read
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -102,7 +102,10 @@
 	if err != nil && !r.front.CutStreams {
 		return r.front.keptStreams.startStream(position, []int{client, worker}, nil) == nil
 	}
-	r.conn.handOverFailed.Store(err != nil)
+	if err != nil {
+		r.conn.handOverFailed.Store(true)
+		_ = syscall.Shutdown(worker, syscall.SHUT_RDWR)
+	}
 	syscall.Close(client)
 	syscall.Close(worker)
 	return err == nil
--- a/internal/openids/lockfile.go
+++ b/internal/openids/lockfile.go
@@ -14,7 +14,7 @@
 const (
 	runningByte     = 0       // read-locked by each process while it runs
 	unpublishedByte = 1       // read-locked by each process that does not lock the ids of its open requests
-	firstNumberByte = 1 << 32 // and the bytes behind it: read-locked by the process with that number
+	firstNumberByte = 1 << 32 // and the bytes behind it: write-locked by the process with that number
 	firstIDByte     = 1 << 62 // and the bytes behind it, up to the largest offset: one for each id, at its hash
 )
 
--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -81,7 +81,9 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(file.readLock(runningByte), file.readLock(firstNumberByte+int64(number))); err != nil {
+	// The number is locked for this process alone: two that took the same one, as the file that counts them could not be
+	// written, would write the same files.
+	if err := errors.Join(file.writeLock(firstNumberByte+int64(number)), file.readLock(runningByte)); err != nil {
 		return errors.Join(err, file.close())
 	}
 	r.file, r.publishing = file, true
--- a/internal/openids/registry_test.go
+++ b/internal/openids/registry_test.go
@@ -198,6 +198,23 @@
 	withFolder.checkClaim(t, "the process without the folder ended", "a", nil)
 }
 
+// Two processes that took the same number, as the file that counts them could not be written, must not share what they write:
+// the newer one refuses what must not run twice until the older one has ended.
+func TestProcessesWithTheSameNumber(t *testing.T) {
+	path := lockPath(t)
+	older := start(t, path, 1)
+	newer := process{New(slog.New(slog.DiscardHandler))}
+	t.Cleanup(newer.end)
+	if err := newer.Join(path, "r "+t.Name(), 1); !errors.Is(err, errLocked) {
+		t.Errorf("%v, want %v", err, errLocked)
+	}
+	newer.Refresh(false)
+	newer.checkClaim(t, "the older process runs", "a", ErrUnknown)
+	older.end()
+	newer.Refresh(false)
+	newer.checkClaim(t, "the older process ended", "a", nil)
+}
+
 // Beside a process of an older version, which shares nothing, what must not run twice is refused.
 func TestHiddenProcess(t *testing.T) {
 	p := start(t, lockPath(t), 1)
