A shared folder that is removed does not undo maintenance

Cause: Load returns the zero State for a file that is not there, and refresh adopted it: workers in maintenance got work again, and standby ended, within 0.1 s of the removal. Found by reading and a scratch test, not in service.

Now a file that counts fewer processes than this one knows of is taken for one that was lost, and written anew from what this process has.

TestRemovedFileUndoesNothing fails on the code before ("in maintenance []" after either removal).

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -180,7 +180,7 @@
 		return
 	}
 	st, err := c.SharedState.Load()
-	if len(c.unsaved) > 0 || err != nil {
+	if len(c.unsaved) > 0 || err != nil || st.isOlderThan(c.state) {
 		c.saveChanges()
 		return
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -194,6 +194,34 @@
 	}
 }
 
+// Guards against work for a worker in maintenance: a shared file or folder that is removed must not undo what operators asked for,
+// and is written again once that is possible.
+func TestRemovedFileUndoesNothing(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "shared")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	s, f := openShared(t, dir), &fakeRouter{workers: []string{"w1"}}
+	d := newController(s, f)
+	d.Start()
+	call(d, http.MethodPost, "/maintenance/enter?who=w1")
+	for _, removed := range []string{s.path, dir} {
+		if err := os.RemoveAll(removed); err != nil {
+			t.Fatal(err)
+		}
+		if d.refresh(); !slices.Equal(f.inMaintenance, []string{"w1"}) {
+			t.Errorf("%s was removed: in maintenance %v", filepath.Base(removed), f.inMaintenance)
+		}
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	d.refresh()
+	if st, err := s.Load(); err != nil || !slices.Equal(st.Maintenance, []string{"w1"}) || st.Started != 1 {
+		t.Errorf("the file has %+v, %v", st, err)
+	}
+}
+
 // Writes of the shared file may fail for a while, at a write, a sync or a rename. A change that was acknowledged must stay in
 // effect meanwhile, must not be undone by the file's old contents, and must be written once that is possible.
 func TestChangesAreKeptWhileWritesFail(t *testing.T) {
--- a/internal/operator/sharedstate.go
+++ b/internal/operator/sharedstate.go
@@ -26,6 +26,9 @@
 	Standby     bool     `json:"standby"` // the fronts shed their clients
 }
 
+// isOlderThan reports whether the file has been replaced since known was read from it: the number of processes only grows.
+func (st State) isOlderThan(known State) bool { return st.Started < known.Started }
+
 // SharedState is one process's view of the state shared with other processes of its router. The zero value shares nothing.
 type SharedState struct {
 	path        string
@@ -206,8 +209,8 @@
 	return st, nil
 }
 
-// Update applies changes to the file in order and returns the new state. A file that can't be read is replaced by fallback
-// with the changes, because it would stay unreadable. After an error the file may hold the old or the new state, and the
+// Update applies changes to the file in order and returns the new state. A file that can't be read, or that was removed and
+// does not have what fallback has, is replaced by fallback with the changes. After an error the file may hold the old or the new state, and the
 // caller should apply the same changes again.
 func (s *SharedState) Update(fallback State, changes ...func(*State)) (State, error) {
 	if s.path == "" {
@@ -223,7 +226,7 @@
 		return State{}, err
 	}
 	st, err := s.Load()
-	if err != nil {
+	if err != nil || st.isOlderThan(fallback) {
 		st = fallback
 		st.Maintenance = slices.Clone(st.Maintenance)
 	}
