--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -115,12 +115,13 @@
 	}
 	drainTime := max(guaranteedDrain, time.Duration(p.reloader.longestDeadline.Load()))
 	p.log.Info("draining", "for_at_most", drainTime.String(), "handed_on", hasSuccessor)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime+killMargin-exitMargin)
+	limit := drainTime + killMargin - exitMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	streamsCtx := ctx
 	if !p.site.Resume { // a stream that is cut is a lost request
 		var cancelStreams context.CancelFunc
-		streamsCtx, cancelStreams = context.WithTimeout(context.Background(), max(drainTime+killMargin-exitMargin, streamDrainTime))
+		streamsCtx, cancelStreams = context.WithTimeout(context.Background(), max(limit, streamDrainTime))
 		defer cancelStreams()
 	}
 	p.front.HandOverAfter = max(minHandOverDelay, untilKilled-handOverMargin)
--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -107,11 +108,7 @@
 	for range connections {
 		res := r.send(p, id, "send-message")
 		res.Body.Close()
-		isWanted := false
-		for _, status := range want {
-			isWanted = isWanted || res.StatusCode == status
-		}
-		if !isWanted {
+		if !slices.Contains(want, res.StatusCode) {
 			r.t.Fatalf("%s: status %d for an open id, want one of %v", when, res.StatusCode, want)
 		}
 		if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") == "" {
--- a/internal/effectlog/effectlog.go
+++ b/internal/effectlog/effectlog.go
@@ -10,10 +10,10 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
+	"slices"
 	"time"
+
+	"rowanyard/internal/numberedfile"
 )
 
 // maxBytes is the size up to which records are appended to what Begin has written.
@@ -63,14 +63,14 @@
 	for _, r := range records {
 		text.Write(encode(r))
 	}
-	temp := l.ownPath() + ".new"
+	temp := l.pathOf(l.number) + ".new"
 	file, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("effect log: %w", err)
 	}
 	_, err = file.Write(text.Bytes())
 	if err == nil {
-		err = os.Rename(temp, l.ownPath())
+		err = os.Rename(temp, l.pathOf(l.number))
 	}
 	if err != nil {
 		return fmt.Errorf("effect log: %w", errors.Join(err, file.Close(), os.Remove(temp)))
@@ -113,12 +113,13 @@
 	if err := l.checkOwnFile(); err != nil {
 		return nil, err
 	}
-	paths, err := l.otherPaths()
+	others, err := l.others()
 	if err != nil {
 		return nil, fmt.Errorf("effect log: %w", err)
 	}
 	var records []Record
-	for _, path := range paths {
+	for _, number := range others {
+		path := l.pathOf(number)
 		read, err := l.readFile(path)
 		if err != nil {
 			return records, fmt.Errorf("effect log: %s: %w", path, err)
@@ -137,7 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("effect log: %w", err)
 	}
-	if named, err := os.Stat(l.ownPath()); err != nil || !os.SameFile(opened, named) {
+	if named, err := os.Stat(l.pathOf(l.number)); err != nil || !os.SameFile(opened, named) {
 		return errRemoved
 	}
 	return nil
@@ -185,41 +186,25 @@
 	if l.file != nil {
 		l.file.Close()
 		l.file = nil
-		_ = os.Remove(l.ownPath())
+		_ = os.Remove(l.pathOf(l.number))
 	}
-	paths, _ := l.otherPaths()
-	for _, path := range paths {
-		if number, _ := l.numberOf(path); number < l.number {
+	others, _ := l.others()
+	for _, number := range others {
+		if path := l.pathOf(number); number < l.number {
 			_ = os.Remove(path)
 			delete(l.read, path)
 		}
 	}
 }
 
-func (l *Log) ownPath() string { return fmt.Sprintf("%s.%d", l.path, l.number) }
+// pathOf returns the path of the file of the process with this number.
+func (l *Log) pathOf(number int) string { return fmt.Sprintf("%s.%d", l.path, number) }
 
-// otherPaths returns the paths of the files of other processes.
-func (l *Log) otherPaths() ([]string, error) {
+// others returns the numbers of the other processes that have a file.
+func (l *Log) others() ([]int, error) {
 	if l.path == "" {
 		return nil, nil
 	}
-	entries, err := os.ReadDir(filepath.Dir(l.path))
-	var paths []string
-	for _, entry := range entries {
-		path := filepath.Join(filepath.Dir(l.path), entry.Name())
-		if number, ok := l.numberOf(path); ok && number != l.number {
-			paths = append(paths, path)
-		}
-	}
-	return paths, err
-}
-
-// numberOf returns the number of the process whose file is at path.
-func (l *Log) numberOf(path string) (number int, ok bool) {
-	text, ok := strings.CutPrefix(path, l.path+".")
-	if !ok {
-		return 0, false
-	}
-	number, err := strconv.Atoi(text)
-	return number, err == nil
+	numbers, err := numberedfile.Numbers(l.path+".", "")
+	return slices.DeleteFunc(numbers, func(number int) bool { return number == l.number }), err
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -86,7 +86,7 @@
 	cutCtx, cutStreams := context.WithCancel(context.Background())
 	f := &Front{cutCtx: cutCtx, cutStreams: cutStreams, core: c, workers: w, classes: ClassesOf(classNames), log: logger, writeTimeout: clientWriteTimeout}
 	f.BodyMemory.Store(defaultBodyMemory)
-	f.keptStreams = &StreamReceiver{front: f, cutCtx: context.Background(), retryAfter: retryAfterLine(c.BusyRetryAfter()), ids: c.OpenIDs, log: logger}
+	f.keptStreams = &StreamReceiver{front: f, cutCtx: context.Background(), retryAfter: retryAfterLine(c.BusyRetryAfter()), log: logger}
 	serverLog := log.New(slogWriter{logger}, "", 0)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {}, // the core chooses the worker, in RoundTrip
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -77,8 +77,7 @@
 	if err != nil {
 		return err
 	}
-	dialer := net.Dialer{Timeout: handOverTimeout}
-	conn, err := dialer.Dial("unixpacket", path)
+	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -17,14 +17,12 @@
 
 	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/inflight"
-	"rowanyard/internal/openids"
 )
 
 // StreamReceiver receives streams from an older process, or from its own, and relays the rest of them to their clients.
 type StreamReceiver struct {
 	front      *Front
 	listener   *net.UnixListener // nil if the streams come from this process
-	ids        *openids.Registry
 	log        *slog.Logger
 	retryAfter string          // the Retry-After line of refusals, may be empty
 	cutCtx     context.Context // once it is done the streams are handed over to the next process
@@ -39,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	h := &StreamReceiver{front: f, listener: listener, ids: f.core.OpenIDs, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx}
+	h := &StreamReceiver{front: f, listener: listener, log: f.log, retryAfter: retryAfterLine(f.core.BusyRetryAfter()), cutCtx: f.cutCtx}
 	f.mu.Lock()
 	f.receiver = h
 	f.mu.Unlock()
@@ -140,7 +138,7 @@
 	if !ValidID(id) {
 		return func() {}
 	}
-	return h.ids.Adopt(id)
+	return h.front.core.OpenIDs.Adopt(id)
 }
 
 // receivedStream relays the rest of a stream that an older process began.
--- a/internal/openids/processmark.go
+++ b/internal/openids/processmark.go
@@ -50,5 +50,3 @@
 	}
 	return false
 }
-
-func (m *processMark) close() error { return m.socket.Close() }
--- a/internal/openids/registry_test.go
+++ b/internal/openids/registry_test.go
@@ -31,7 +31,7 @@
 		_ = p.file.close()
 	}
 	if p.mark != nil {
-		_ = p.mark.close()
+		_ = p.mark.socket.Close()
 	}
 }
 
@@ -47,6 +47,15 @@
 	}
 }
 
+// startTwo starts two processes that share the file at path and know each other.
+func startTwo(t *testing.T, path string) (older, newer process) {
+	t.Helper()
+	older, newer = start(t, path, 1), start(t, path, 2)
+	older.Refresh(false)
+	newer.Refresh(false)
+	return older, newer
+}
+
 func lockPath(t *testing.T) string { return filepath.Join(t.TempDir(), "ids") }
 
 // An id that is open in one process must not be served in another, whichever of them began first.
@@ -76,11 +85,7 @@
 
 // Of two claims of one id at the same instant in two processes, one succeeds.
 func TestOnlyOneOfTwoSimultaneousClaimsSucceeds(t *testing.T) {
-	path := lockPath(t)
-	older := start(t, path, 1)
-	newer := start(t, path, 2)
-	older.Refresh(false)
-	newer.Refresh(false)
+	older, newer := startTwo(t, lockPath(t))
 	for i := range 200 {
 		id := fmt.Sprint("id", i)
 		var succeeded atomic.Int32
@@ -131,11 +136,7 @@
 
 // A process that stands still keeps its published ids, and one that dies loses them.
 func TestIDsEndWithTheirProcess(t *testing.T) {
-	path := lockPath(t)
-	older := start(t, path, 1)
-	newer := start(t, path, 2)
-	older.Refresh(false)
-	newer.Refresh(false)
+	older, newer := startTwo(t, lockPath(t))
 	if _, err := older.Claim("a", true); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -89,8 +89,13 @@
 	}
 }
 
-// refreshOpenIDs adapts the registry of open ids to the processes that run now.
-func (c *Controller) refreshOpenIDs() { c.OpenIDs.Refresh(c.hiddenProcessRuns()) }
+// refreshOpenIDs adapts the registry of open ids to the processes that run now, and reports whether one of them does not
+// share its ids.
+func (c *Controller) refreshOpenIDs() (hiddenRuns bool) {
+	hiddenRuns = c.hiddenProcessRuns()
+	c.OpenIDs.Refresh(hiddenRuns)
+	return hiddenRuns
+}
 
 // hiddenProcessRuns reports whether a process runs that does not share the ids of its open requests, as one of an older
 // version.
@@ -102,7 +107,7 @@
 		return false
 	}
 	for _, number := range c.SharedState.othersRunning() {
-		if !c.OpenIDs.Shares(number) && c.SharedState.IsRunning(number) {
+		if !c.OpenIDs.Shares(number) && c.SharedState.IsRunning(number) { // still: it may have ended in between
 			return true
 		}
 	}
@@ -117,11 +122,11 @@
 	check := time.NewTicker(shareCheckInterval)
 	defer check.Stop()
 	for {
-		c.refreshOpenIDs()
+		hiddenRuns := c.refreshOpenIDs()
 		if c.OpenIDs.Certain() {
 			return
 		}
-		if ctx.Err() != nil || c.hiddenProcessRuns() {
+		if ctx.Err() != nil || hiddenRuns {
 			c.Log.Warn("another process may have requests open that can't be seen: requests that must not run twice are refused")
 			return
 		}
--- a/internal/operator/sharedstate.go
+++ b/internal/operator/sharedstate.go
@@ -11,11 +11,12 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/numberedfile"
 )
 
 // State is the contents of the shared file. Operators' requests in it hold until they are revoked, across upgrades.
@@ -40,6 +41,9 @@
 	writeFile   func(path string, text []byte) error // writeDurably; replaced in tests
 }
 
+// processLockSuffix ends the names of the files that running processes lock.
+const processLockSuffix = ".alive"
+
 // The wait for another process that writes the file.
 const (
 	lockTimeout      = 200 * time.Millisecond
@@ -133,20 +137,10 @@
 	if s.path == "" {
 		return nil
 	}
-	paths, _ := filepath.Glob(globEscaper.Replace(s.path) + ".*.alive")
-	var numbers []int
-	for _, path := range paths {
-		text := strings.TrimSuffix(strings.TrimPrefix(path, s.path+"."), ".alive")
-		if number, err := strconv.Atoi(text); err == nil {
-			numbers = append(numbers, number)
-		}
-	}
+	numbers, _ := numberedfile.Numbers(s.path+".", processLockSuffix)
 	return numbers
 }
 
-// globEscaper escapes what has a meaning in the patterns of filepath.Glob.
-var globEscaper = strings.NewReplacer(`\`, `\\`, `*`, `\*`, `?`, `\?`, `[`, `\[`)
-
 // othersRunning returns the numbers of the processes that run, without this one.
 func (s *SharedState) othersRunning() []int {
 	s.mu.Lock()
@@ -187,7 +181,7 @@
 }
 
 func (s *SharedState) processLockPath(number int) string {
-	return fmt.Sprintf("%s.%d.alive", s.path, number)
+	return fmt.Sprintf("%s.%d%s", s.path, number, processLockSuffix)
 }
 
 // Load reads the shared state. It returns the zero State if there is no file yet.
@@ -210,8 +204,8 @@
 }
 
 // Update applies changes to the file in order and returns the new state. A file that can't be read, or that was removed and
-// does not have what fallback has, is replaced by fallback with the changes. After an error the file may hold the old or the new state, and the
-// caller should apply the same changes again.
+// does not have what fallback has, is replaced by fallback with the changes. After an error the file may hold the old or the
+// new state, and the caller should apply the same changes again.
 func (s *SharedState) Update(fallback State, changes ...func(*State)) (State, error) {
 	if s.path == "" {
 		applyChanges(&fallback, changes)
