--- a/review/second/main.go
+++ b/review/second/main.go
@@ -43,6 +43,7 @@
 	p := &play{record: &record{start: time.Now(), file: file}, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	watchdog := time.AfterFunc(115*time.Second, func() {
 		p.add("case", "", "could not run: not done after 115 s")
+		os.RemoveAll(dir)
 		os.Exit(2) // routers end with their parent
 	})
 	defer watchdog.Stop()
