A router that is told to end refuses what comes too late to be brought to its end

Cause: SIGTERM closed idle connections only. From then on nothing looked at how long ago the signal was: Core.Serve took every request until Core.Shutdown, 0.7 s before the earliest kill, and a stream may be longer than what is left.

Change: Core.CloseAdmission is told when the signal came; Core.Admits decides for each request, by when its last byte was read. Late ones are refused with Retry-After unless their stream can move to the process that takes over. When the admission ends, connections that were never used are closed unread and new ones refused; when the core stops taking requests, those on which a part of a request has come are refused and closed as well, so that nothing can be written to them just before the kill. A request that came in time is served as before, also when its turn comes late. It works for any time of the kill and any length of a stream, as it relies on neither.

TestLateRequestsAreRefused, TestRequestsInTimeAreServed and the tests beside them cover the ways in which a request is taken, at the front.

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -24,6 +24,7 @@
 	scrapeHeaderTimeout        = time.Second
 	exitMargin                 = 500 * time.Millisecond  // between the end of the process and the earliest kill
 	killMargin                 = 700 * time.Millisecond  // the earliest kill comes this long after the longest deadline
+	admissionTime              = 700 * time.Millisecond  // from the signal; what the kill cuts of a request that came later is lost
 	guaranteedDrain            = 3 * time.Second         // a longer deadline does not delay the kill any further
 	finalAnswerMargin          = 700 * time.Millisecond  // before the earliest kill, when open requests get their final answer
 	handOverMargin             = 1300 * time.Millisecond // before the earliest kill, when streams are handed over
@@ -99,6 +100,6 @@
 		return err
 	case <-ctx.Done():
 	}
-	p.drain()
+	p.drain(time.Now())
 	return nil
 }
--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -105,10 +105,11 @@
 }
 
 // drain shuts all fronts down gracefully: open requests are answered, and streams that still run are handed over to the
-// process that takes over, if there is one.
-func (p *process) drain() {
+// process that takes over, if there is one. told is when the signal came.
+func (p *process) drain(told time.Time) {
 	untilKilled := p.untilKilled()
-	defer time.AfterFunc(untilKilled-finalAnswerMargin, p.core.Shutdown).Stop()
+	p.core.CloseAdmission(told.Add(admissionTime))
+	defer time.AfterFunc(untilKilled-finalAnswerMargin, p.endRequests).Stop()
 	successor, hasSuccessor := p.control.Successor()
 	if !hasSuccessor {
 		successor = ""
@@ -140,6 +141,12 @@
 	p.log.Info("ended", "stopped", stopped, "violated", violated)
 }
 
+// endRequests has each open request answered, and closes connections on which another one could still come.
+func (p *process) endRequests() {
+	p.core.Shutdown()
+	p.front.CloseInactive()
+}
+
 // untilGRPCStreamsEnd returns the time from the termination signal until the running streams of gRPC clients are ended. They
 // can't be handed over. A stream that the kill cut would look to its client like a refused request, which may be sent again.
 func (p *process) untilGRPCStreamsEnd(untilKilled time.Duration) time.Duration {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,6 +127,8 @@
 	running       inflight.Counter // requests, and releases that outlive their request
 	stopping      bool             // Shutdown was called: no new request is started
 
+	admissionEnd atomic.Pointer[time.Time] // nil before CloseAdmission
+
 	// Guard counts violated invariants, and steps that were stopped in time.
 	Guard invariant.Guard
 	// OpenIDs holds the ids that clients gave to their open requests.
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -33,6 +33,7 @@
 	answerPending atomic.Bool  // a request has been passed to net/http and its answer is not complete
 	socket        socketState
 	arrivedAt     atomic.Int64 // when the first byte of the current head was read, since epoch
+	completedAt   atomic.Int64 // when the last byte of the current request was read at the latest, since epoch; 0: not yet
 	// handOverFailed is set if the socket may also be in the queue of a process that stands still. The connection then has
 	// to be ended before it is closed.
 	handOverFailed atomic.Bool
@@ -43,6 +44,7 @@
 	// Used by Read, which net/http does not call concurrently, and by trackConnState while Read is not running.
 	buf         []byte        // read from the socket and not yet returned
 	firstByteAt time.Time     // when the first byte of buf was read
+	lastReadAt  time.Time     // when bytes were last read from the socket
 	deliverable int           // length of the part of buf that may be returned
 	bodyLeft    int64         // bytes of the request's body that are not ready to be returned yet
 	chunks      *chunkScanner // scans a chunked body, nil if there is none
@@ -77,6 +79,16 @@
 	return 0
 }
 
+// completionTime returns when the current request had come in full.
+func completionTime(ctx context.Context) time.Time {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		if completedAt := c.completedAt.Load(); completedAt > 0 {
+			return epoch.Add(time.Duration(completedAt))
+		}
+	}
+	return time.Now()
+}
+
 // setState changes the connection's state. It returns false if the connection has been evicted.
 func (c *clientConn) setState(state int32) bool {
 	c.stateSince.Store(int64(time.Since(epoch)))
@@ -162,6 +174,9 @@
 			continue
 		case c.bodyLeft > 0:
 			n, err := c.Conn.Read(p[:min(int64(len(p)), c.bodyLeft)])
+			if n > 0 {
+				c.lastReadAt = time.Now()
+			}
 			if !c.countBody(n) {
 				return 0, net.ErrClosed
 			}
@@ -238,14 +253,19 @@
 	}
 	c.bodyPending.Store(c.bodyLeft > 0 || f.chunked)
 	if !c.bodyPending.Load() {
+		c.recordCompletion()
 		c.countPipelined()
 	}
 	return nil
 }
 
+// recordCompletion records that the current request has come in full, by the latest read of the socket.
+func (c *clientConn) recordCompletion() { c.completedAt.Store(int64(c.lastReadAt.Sub(epoch))) }
+
 // beginRequest records that net/http is given the next request. What was counted as pipelined is now current.
 func (c *clientConn) beginRequest() {
 	c.answerComplete.Store(false)
+	c.completedAt.Store(0)
 	c.pipelined.Store(0)
 }
 
@@ -255,6 +275,9 @@
 		c.buf = append(make([]byte, 0, 2*len(c.buf)+readBufferStep), c.buf...)
 	}
 	n, err := c.readSocket(c.buf[len(c.buf):cap(c.buf)])
+	if n > 0 { // and not where net/http interrupts the read
+		c.lastReadAt = time.Now()
+	}
 	if len(c.buf) == 0 {
 		c.firstByteAt = time.Now()
 	}
@@ -302,6 +325,7 @@
 	if end || err != nil {
 		c.chunks = nil
 		if !c.passthrough {
+			c.recordCompletion()
 			c.countPipelined()
 		}
 		return c.bodyPending.CompareAndSwap(true, false)
@@ -314,5 +338,6 @@
 	if c.bodyLeft -= int64(n); c.bodyLeft > 0 {
 		return true
 	}
+	c.recordCompletion()
 	return c.bodyPending.CompareAndSwap(true, false)
 }
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -43,6 +43,7 @@
 	evicted     int              // connections closed for other ones since lastWarning
 	backlogOnly chan struct{}    // closed by closeAfterBacklog
 	closing     atomic.Bool      // connections are closed after their answer
+	rejectAll   bool             // each new connection is rejected
 	open        inflight.Counter // connections that are not closed
 	acceptDone  chan struct{}    // closed once Accept is no longer called
 }
@@ -197,10 +198,15 @@
 	return newClientListener(l, maxConns, 0, log)
 }
 
-// admit registers a connection. It returns nil if the limit is reached and no connection can be evicted.
+// admit registers a connection. It returns nil if the connection is to be rejected: the limit is reached and no connection can
+// be evicted, or closeUnused was called.
 func (l *clientListener) admit(c net.Conn) *clientConn {
 	for {
 		l.mu.Lock()
+		if l.rejectAll {
+			l.mu.Unlock()
+			return nil
+		}
 		if len(l.conns) < l.maxConns {
 			x := &clientConn{Conn: c, owner: l, connectedAt: time.Now()}
 			x.setState(connAwaitingHead)
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -41,6 +41,12 @@
 	return r.closed
 }
 
+func (r *socketState) isRequestPending() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requestPending
+}
+
 // setAnswered records that the current request is answered. nextBegun is whether bytes of the next one have been read.
 func (r *socketState) setAnswered(nextBegun bool) {
 	r.mu.Lock()
@@ -121,12 +127,14 @@
 	return c.release()
 }
 
-// closeIfIdle closes a connection between two requests. If bytes of a request have been read at that moment, the connection
-// stays open and is closed after the answer.
-func (c *clientConn) closeIfIdle() {
-	if c.socket.closeIfAnswered() {
+// closeIfIdle closes a connection between two requests, or before the first. If bytes of a request have been read at that
+// moment, the connection stays open and is closed after the answer. It reports whether it closed the connection.
+func (c *clientConn) closeIfIdle() bool {
+	closed := c.socket.closeIfAnswered()
+	if closed {
 		_ = c.release()
 	}
+	return closed
 }
 
 // release removes the connection from its listener and closes the socket.
@@ -239,6 +247,25 @@
 	}
 }
 
+// closeUnused closes the connections on which nothing has been read, and has new ones rejected. It returns how many it closed.
+func (l *clientListener) closeUnused() (closed int) {
+	l.mu.Lock()
+	l.rejectAll = true
+	var unused []*clientConn
+	for c := range l.conns {
+		if c.state.Load() == connAwaitingHead {
+			unused = append(unused, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range unused {
+		if c.closeIfIdle() {
+			closed++
+		}
+	}
+	return closed
+}
+
 // shutdown stops accepting and waits until all connections are closed. It returns false if ctx ends first.
 func (l *clientListener) shutdown(ctx context.Context) bool {
 	_ = l.Close()
--- /dev/null
+++ b/internal/httpfront/drain_test.go
@@ -0,0 +1,173 @@
+package httpfront
+
+// Tests of requests that come after a process has been told to end.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// expectRefusal expects the answer 503 with Retry-After, which announces the end of the connection.
+func expectRefusal(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatalf("%v, want a refusal", err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || !res.Close {
+		t.Fatalf("%v, want a refusal that ends the connection", res)
+	}
+	expectEOF(t, in)
+}
+
+// startLateShutdown shuts f down in the background, as if it had been told to end long ago: what comes from now on is late.
+func startLateShutdown(t *testing.T, f *Front) (ended chan struct{}) {
+	f.core.CloseAdmission(time.Now())
+	f.clients.closeAfterAnswers(true) // the first step of Shutdown
+	return startShutdown(t, f)
+}
+
+// splitRequest is a request whose first part comes in time and whose rest comes late.
+type splitRequest struct{ inTime, late string }
+
+// Guards against streams that the kill cuts because their requests came late in a planned restart: a request whose last byte
+// comes after the admission has ended is refused and reaches no worker.
+func TestLateRequestsAreRefused(t *testing.T) {
+	const headBytes, bodyBytes = 30, 20 // of the first part
+	plain := withLongDeadline(requestText("one", contentLength(requestBody), requestBody))
+	chunked := withLongDeadline(requestText("one", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(requestBody), requestBody)))
+	bodyAt := strings.Index(plain, "\r\n\r\n") + len("\r\n\r\n")
+	oldVersion := strings.Replace(plain, "HTTP/1.1", "HTTP/1.0", 1)
+	for name, request := range map[string]splitRequest{
+		"its first byte in time":        {plain[:1], plain[1:]},
+		"a part of the head in time":    {plain[:headBytes], plain[headBytes:]},
+		"the whole head in time":        {plain[:bodyAt], plain[bodyAt:]},
+		"a part of the body in time":    {plain[:bodyAt+bodyBytes], plain[bodyAt+bodyBytes:]},
+		"all but the last byte in time": {plain[:len(plain)-1], plain[len(plain)-1:]},
+		"chunked body":                  {chunked[:len(chunked)-1], chunked[len(chunked)-1:]},
+		"HTTP/1.0":                      {oldVersion[:headBytes], oldVersion[headBytes:]},
+	} {
+		for _, resume := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, resume %v", name, resume), func(t *testing.T) {
+				t.Parallel()
+				worker, begun, _ := streamingWorker(t)
+				f, _ := newFrontWithTarget(t, worker, time.Hour)
+				f.CutStreams = resume
+				addr, reads := serveReportingReads(t, f)
+				client := dialAndSend(t, addr, request.inTime)
+				waitForRequest(t, f, reads)
+				ended := startLateShutdown(t, f)
+				io.WriteString(client, request.late)
+				expectRefusal(t, bufio.NewReader(client))
+				receive(t, ended, "the end of Shutdown")
+				if len(begun) > 0 {
+					t.Error("the request has reached a worker")
+				}
+			})
+		}
+	}
+}
+
+// waitForRequest waits until bytes of a request have been read.
+func waitForRequest(t *testing.T, f *Front, reads <-chan struct{}) {
+	t.Helper()
+	begun := func() bool {
+		f.clients.mu.Lock()
+		defer f.clients.mu.Unlock()
+		for c := range f.clients.conns {
+			if c.socket.isRequestPending() {
+				return true
+			}
+		}
+		return false
+	}
+	for !begun() {
+		receive(t, reads, "a read of the client's socket")
+	}
+}
+
+// Guards against late requests on connections that were never used: these are closed unread once the admission has ended, so
+// that their clients go elsewhere.
+func TestUnusedConnectionsAreClosedWithTheAdmission(t *testing.T) {
+	worker, _, _ := streamingWorker(t)
+	f, lines := newLoggingFront(t, worker)
+	addr, _ := serveReportingReads(t, f)
+	unused := dialAndSend(t, addr, "")
+	other := dialAndSend(t, addr, "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if _, err := io.ReadAll(other); err != nil { // connections are accepted in their order
+		t.Fatal(err)
+	}
+	ended := startLateShutdown(t, f)
+	lines.waitFor(t, "unused_connections_closed=1")
+	expectEOF(t, bufio.NewReader(unused))
+	receive(t, ended, "the end of Shutdown")
+}
+
+// Guards against late requests on connections that are accepted after the unused ones were closed: their clients get a refusal.
+func TestConnectionsAcceptedAfterTheAdmissionAreRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := newClientListener(l, 4, time.Second, discardLogger)
+	if n := listener.closeUnused(); n != 0 {
+		t.Errorf("%d connections closed, there are none", n)
+	}
+	accepted := make(chan error)
+	go func() {
+		_, err := listener.Accept()
+		accepted <- err
+	}()
+	expectRefusal(t, bufio.NewReader(dialAndSend(t, l.Addr().String(), requestText("one", contentLength(requestBody), requestBody))))
+	listener.Close()
+	if err := receive(t, accepted, "the end of Accept"); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Accept: %v, want %v", err, net.ErrClosed)
+	}
+}
+
+// Guards against a mend that turns requests away which are served in time: one that has come in full before the admission ends is
+// served to its end, also if its turn comes later, behind another one.
+func TestRequestsInTimeAreServed(t *testing.T) {
+	worker, begun, goOn := streamingWorker(t)
+	f, _ := newFrontWithTarget(t, worker, time.Hour)
+	addr, reads := serveReportingReads(t, f)
+	var texts []string
+	for _, id := range []string{"one", "two"} {
+		texts = append(texts, withLongDeadline(requestText(id, contentLength(requestBody), requestBody)))
+	}
+	client := dialAndSend(t, addr, strings.Join(texts, ""))
+	receive(t, begun, "the first stream")
+	waitForPipelined(t, onlyConn(t, f), reads, 1)
+	ended := startLateShutdown(t, f)
+	in := bufio.NewReader(client)
+	goOn <- struct{}{}
+	readStream(t, in)
+	receive(t, begun, "the second stream")
+	goOn <- struct{}{}
+	readStream(t, in)
+	expectEOF(t, in)
+	receive(t, ended, "the end of Shutdown")
+}
+
+// Guards against requests that are written just as the kill comes: once the core takes no more, a connection on which a part of
+// a request has come is refused the rest and closed.
+func TestIncompleteRequestsAreRefusedBeforeTheKill(t *testing.T) {
+	worker, _, _ := streamingWorker(t)
+	f, lines := newLoggingFront(t, worker)
+	addr, reads := serveReportingReads(t, f)
+	client := dialAndSend(t, addr, requestText("one", contentLength(requestBody), requestBody[:1]))
+	waitForRequest(t, f, reads)
+	ended := startLateShutdown(t, f)
+	lines.waitFor(t, "admission closed")
+	f.core.Shutdown()
+	f.CloseInactive()
+	expectRefusal(t, bufio.NewReader(client))
+	receive(t, ended, "the end of Shutdown")
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -78,6 +78,7 @@
 	standby       bool            // an operator wants the router to have no clients
 	closing       bool            // Shutdown has begun
 	successor     bool            // Shutdown was called while another process serves at this address
+	ending        bool            // CloseInactive was called, and Shutdown has not returned
 }
 
 // New returns a Front that passes requests to c. classNames are the names of the classes in the order of their numbers.
@@ -157,7 +158,7 @@
 	reservation, ok := f.reserveBody(r.ContentLength)
 	defer reservation.release()
 	if !ok {
-		f.refuse(w, r.Header.Get(headerTxn), "too many bodies are held")
+		f.refuse(w, r, r.Header.Get(headerTxn), "too many bodies are held")
 		return
 	}
 	body, status, err := readBody(w, r)
@@ -176,9 +177,13 @@
 		return
 	}
 	q.Label = r.Header.Get(headerTxn)
+	if !f.core.Admits(q.Label, completionTime(r.Context()), func() bool { return f.canMove(r) }) {
+		f.respondRefused(w, r)
+		return
+	}
 	releaseID, err := f.core.ClaimID(q.Label, q.Class)
 	if err != nil {
-		f.rejectID(w, q.Label, err)
+		f.rejectID(w, r, err)
 		return
 	}
 	defer releaseID()
@@ -188,8 +193,15 @@
 }
 
 // refuse answers a request of which nothing was sent to a worker with 503.
-func (f *Front) refuse(w http.ResponseWriter, id, why string) {
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, id, why string) {
 	f.log.Info("refused", "why", why, "txn", id)
+	f.respondRefused(w, r)
+}
+
+func (f *Front) respondRefused(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok { // again: the shutdown may have begun since the head was read
+		c.announceClose(w.Header(), r)
+	}
 	setRetryAfter(w.Header(), f.core.BusyRetryAfter())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -201,12 +213,13 @@
 }
 
 // rejectID answers a request whose id could not be claimed. An open request with this id is not affected.
-func (f *Front) rejectID(w http.ResponseWriter, id string, err error) {
+func (f *Front) rejectID(w http.ResponseWriter, r *http.Request, err error) {
+	id := r.Header.Get(headerTxn)
 	if errors.Is(err, openids.ErrOpen) {
 		f.rejectRequest(w, http.StatusConflict, fmt.Errorf("%s: %q %w", headerTxn, id, err))
 		return
 	}
-	f.refuse(w, id, "its id "+err.Error())
+	f.refuse(w, r, id, "its id "+err.Error())
 }
 
 // forward passes a parsed request to the core and relays the answer to the client.
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
 const (
-	shutdownAcceptTime   = 600 * time.Millisecond  // connections still arrive for this long after SIGTERM
-	standbyCloseDelay    = 1500 * time.Millisecond // from the start of standby until inactive connections are closed ...
-	standbyCloseInterval = 100 * time.Millisecond  // ... and from then on at this interval
+	shutdownAcceptTime  = 600 * time.Millisecond  // connections still arrive for this long after SIGTERM
+	standbyCloseDelay   = 1500 * time.Millisecond // from the start of standby until inactive connections are closed
+	closeInactivePeriod = 100 * time.Millisecond  // between two closes of inactive connections
 )
 
 // ready reports whether the router accepts new clients. A process that shuts down while another serves at its address is
@@ -32,28 +33,59 @@
 		f.clients.closeAfterAnswers(on)
 	}
 	if on {
-		time.AfterFunc(standbyCloseDelay, f.closeInactiveInStandby)
+		time.AfterFunc(standbyCloseDelay, f.closeInactive)
 	}
 }
 
-// closeInactiveInStandby closes the connections without a request in progress, repeatedly while the front is in standby.
-func (f *Front) closeInactiveInStandby() {
+// CloseInactive closes the connections without a complete request from now on until Shutdown returns. A request of which a part
+// has been read is refused. It is called during Shutdown, when the core takes no more requests.
+func (f *Front) CloseInactive() {
+	f.mu.Lock()
+	f.ending = f.closing
+	f.mu.Unlock()
+	f.closeInactive()
+}
+
+// closeInactive closes the connections without a complete request, repeatedly while the front is in standby or ends.
+func (f *Front) closeInactive() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.standby || f.closing {
+	inStandby := f.standby && !f.closing
+	if !inStandby && !f.ending {
 		return
 	}
 	if f.clients != nil {
 		f.clients.closeInactive()
 	}
-	time.AfterFunc(standbyCloseInterval, f.closeInactiveInStandby)
+	time.AfterFunc(closeInactivePeriod, f.closeInactive)
+}
+
+// closeAdmission is called when the core's admission ends. Requests that come on unused connections from now on would be refused,
+// so that these connections are closed, unless streams can be handed over.
+func (f *Front) closeAdmission() {
+	f.mu.Lock()
+	current := f.clients
+	f.mu.Unlock()
+	canHandOver, closed := f.canHandOver(), 0
+	if current != nil && !canHandOver {
+		closed = current.closeUnused()
+	}
+	f.log.Info("admission closed", "late_streams_move", canHandOver, "unused_connections_closed", closed)
 }
 
+// canMove reports whether the stream that answers a request can move to the process that takes over.
+func (f *Front) canMove(r *http.Request) bool {
+	return f.canHandOver()
+}
+
+// canHandOver reports whether streams can be handed over to another process.
+func (f *Front) canHandOver() bool { return f.successorPath.get() != "" }
+
 // Shutdown ends the front gracefully. It closes idle connections at once, answers the requests that have arrived and those
-// that still arrive for a short while, hands over streams (see HandOverAfter), and cuts those that are still running when
-// ctx ends. successor is the path at which another process, which by now listens at the same address and gets the new
+// that the core still admits, hands over streams (see HandOverAfter), and cuts those that are still running when ctx ends. successor is the path at which another process, which by now listens at the same address and gets the new
 // connections, takes over streams; it is "" if there is none.
 func (f *Front) Shutdown(ctx context.Context, successor string) {
+	defer f.stopClosingInactive()
 	f.mu.Lock()
 	f.closing, f.successor = true, successor != ""
 	if f.successor && f.clients != nil {
@@ -68,6 +100,9 @@
 	if successor != "" || f.CutStreams {
 		defer time.AfterFunc(f.HandOverAfter, f.cutStreams).Stop()
 	}
+	if end, ok := f.core.AdmissionEnd(); ok {
+		defer time.AfterFunc(time.Until(end), f.closeAdmission).Stop()
+	}
 	select {
 	case <-time.After(shutdownAcceptTime):
 	case <-ctx.Done():
@@ -84,3 +119,9 @@
 		f.log.Info("streams handed over", "streams", f.handedOver.Load())
 	}
 }
+
+func (f *Front) stopClosingInactive() {
+	f.mu.Lock()
+	f.ending = false
+	f.mu.Unlock()
+}
