Late gRPC calls, proxies' requests and decisions are refused while the process ends

Callers would see: a stream of a gRPC client that ends with DATA_LOSS, a proxy's response that breaks with the external processor, a report on a grant that no process knows, each for a request that came after the router had been told to end. The server's GOAWAY ends most connections in time, but a call can still come on one whose peer has not confirmed it.

Cause: the same as at the HTTP front: Core.Serve took every request until Core.Shutdown, and these streams and grants can't move to another process at all.

They refuse with UNAVAILABLE and RetryInfo, or 503 and Retry-After. Further attempts of a request that came in time are granted as before.

--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -275,6 +275,9 @@
 
 // begin registers a request and starts to serve it in the core.
 func (d *Coordinator) begin(a ChooseCall) (*delegation, error) {
+	if !d.core.Admits(a.Request, a.Called, nil) { // its grants and their reports are known to this process alone
+		return nil, &Refused{d.core.BusyRetryAfter()}
+	}
 	releaseID, err := d.core.ClaimID(a.Request, a.Class)
 	switch {
 	case errors.Is(err, openids.ErrOpen):
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -536,14 +536,40 @@
 	b.setWorkers(all)
 	c := b.caller("p1")
 	_, err := c.Choose(c.ctx(), &pb.ChooseRequest{Request: "q", Class: "draft-reply", FirstTokenWithin: durationpb.New(200 * time.Millisecond)})
-	wantCode(t, "no worker", err, codes.Unavailable)
+	wantRefusal(t, "no worker", err)
+	b.waitSettled()
+}
+
+// wantRefusal fails the test unless err is a refusal that says when to try again.
+func wantRefusal(t *testing.T, what string, err error) {
+	t.Helper()
+	wantCode(t, what, err, codes.Unavailable)
 	var info *errdetails.RetryInfo
 	for _, d := range status.Convert(err).Details() {
 		info, _ = d.(*errdetails.RetryInfo)
 	}
 	if info == nil || info.RetryDelay.AsDuration() > 500*time.Millisecond {
-		t.Errorf("retry delay: %v", info)
+		t.Errorf("%s: retry delay %v", what, info)
+	}
+}
+
+// Guards against grants whose reports find no process: a request that comes late is refused. One that came in time gets its
+// further grants.
+func TestLateRequestIsRefused(t *testing.T) {
+	b := start(t, standin.Options{})
+	c := b.caller("p1")
+	read := c.must(c.ask("in-time", 0, "send-message"))
+	b.core.CloseAdmission(time.Now())
+	_, err := c.ask("late", 0, "send-message")
+	wantRefusal(t, "late", err)
+	if err := c.report(read, pb.Fate_FATE_READ); err != nil {
+		t.Fatal(err)
+	}
+	write := c.must(c.ask("in-time", 1, "send-message"))
+	if err := c.report(write, pb.Fate_FATE_TURNED_AWAY); err != nil {
+		t.Error(err)
 	}
+	b.coordinator.CallerLeft("in-time")
 	b.waitSettled()
 }
 
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -268,6 +268,9 @@
 // handleRequestHeaders takes a request's headers, finds its route and decides how the body is obtained.
 func (c *call) handleRequestHeaders(h *extprocv3.HttpHeaders) (bool, error) {
 	c.parseRequestHeaders(h)
+	if !c.Core.Admits(c.header.Get("X-Txn"), time.Now(), nil) { // the proxy's request would break with this stream
+		return true, c.sendFinal(&decisions.Refused{RetryAfter: c.Core.BusyRetryAfter()})
+	}
 	r := &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestHeaders{
 		RequestHeaders: &extprocv3.HeadersResponse{Response: &extprocv3.CommonResponse{}}}}
 	if !c.matched {
--- a/internal/extproc/modes_test.go
+++ b/internal/extproc/modes_test.go
@@ -324,6 +324,35 @@
 	}
 }
 
+// Guards against streams that break with the processor because their requests came late: these are refused, as a whole or with the
+// end of their body. A request that came in time goes on.
+func TestLateRequestIsRefused(t *testing.T) {
+	const buffered, stream = modev3.ProcessingMode_BUFFERED, modev3.ProcessingMode_STREAMED
+	b := start(t, standin.Options{}, nil)
+	inTime, bodyLate, late := b.proxyStream(t), b.proxyStream(t), b.proxyStream(t)
+	for _, s := range []*proxyStream{inTime, bodyLate} {
+		s.send(s.requestHeaders(buffered, stream, false, false))
+		s.recv()
+	}
+	inTime.send(requestBody(prompt, true))
+	writer, _ := destination(inTime.recv())
+	b.core.CloseAdmission(time.Now())
+	bodyLate.send(requestBody(prompt, true))
+	late.send(late.requestHeaders(buffered, stream, false, false))
+	for name, s := range map[string]*proxyStream{"body late": bodyLate, "late": late} {
+		answer := s.recv().GetImmediateResponse()
+		headers := answer.GetHeaders().GetSetHeaders()
+		if answer.GetStatus().GetCode() != http.StatusServiceUnavailable || len(headers) != 1 || headers[0].GetHeader().GetKey() != "retry-after" {
+			t.Errorf("%s: %v, want a refusal with Retry-After", name, answer)
+		}
+		if n := b.fleet.Calls("read", s.id); n != 0 {
+			t.Errorf("%s: read %d times", name, n)
+		}
+	}
+	inTime.finish(writer, stream)
+	b.waitSettled(t)
+}
+
 // If a proxy used another endpoint than the granted one, it is unknown what ran, and its client gets a failure.
 func TestAnotherEndpointServed(t *testing.T) {
 	b := start(t, standin.Options{Writers: 2}, nil)
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -97,6 +97,9 @@
 		s.log.Info("bad request", "err", err)
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
+	if !s.core.Admits(req.Id, time.Now(), nil) { // streams of gRPC clients can't be handed over
+		return refusal(codes.Unavailable, "refused, nothing has run", s.core.BusyRetryAfter())
+	}
 	releaseID, err := s.core.ClaimID(req.Id, q.Class)
 	switch {
 	case errors.Is(err, openids.ErrOpen): // the earlier request with this id is not affected
--- a/internal/grpcfront/front_test.go
+++ b/internal/grpcfront/front_test.go
@@ -179,6 +179,12 @@
 func TestRefusalCarriesRetryInfo(t *testing.T) {
 	r := start(t, standin.Options{GRPC: true, FaultFor: func(stage, _ string, _ int) standin.Fault { return standin.Reject }})
 	_, err := r.complete(context.Background(), r.request("send-message", "k", 300*time.Millisecond))
+	checkRefusal(t, err)
+}
+
+// checkRefusal fails the test unless err refuses a call and says when to try again.
+func checkRefusal(t *testing.T, err error) {
+	t.Helper()
 	st := status.Convert(err)
 	if st.Code() != codes.Unavailable {
 		t.Fatal(err)
@@ -191,6 +197,33 @@
 	t.Errorf("no RetryInfo in %v", st.Details())
 }
 
+// Guards against streams that end with the process because their calls came late: these are refused, and the stream of a call
+// that came in time goes on.
+func TestLateCallIsRefused(t *testing.T) {
+	r := start(t, standin.Options{GRPC: true, Tokens: 3})
+	stream, err := r.grpc.Complete(t.Context(), r.request("send-message", "in time", 5*time.Second))
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.core.CloseAdmission(time.Now())
+	late := r.request("send-message", "late", 5*time.Second)
+	_, err = r.complete(t.Context(), late)
+	checkRefusal(t, err)
+	if n := r.fleet.Calls("read", late.Id); n != 0 {
+		t.Errorf("the late call was read %d times", n)
+	}
+	for err = nil; err == nil; {
+		_, err = stream.Recv()
+	}
+	if err != io.EOF {
+		t.Errorf("the stream in time: %v, want its end", err)
+	}
+	r.waitIdle(t)
+}
+
 // A client must not be told to retry a request that may have run.
 func TestFailureThatMayHaveRunInvitesNoRetry(t *testing.T) {
 	forEachWire(t, func(t *testing.T, grpc bool) {
