In an upgrade whose streams can't be handed over, late requests are refused

Cause: the same as in a restart: the old process took them, on the word of the shared file that a newer one serves, although nobody received streams. A socket's path may have 107 bytes, so that the newer process could not listen there; a newer process that has died or stands still has the same effect.

Change: before it takes a late request the old process asks at the socket whether the other one answers: it connects, sends nothing, and waits for the other side to close, 0.3 s at most. Without an answer late requests are refused and unused connections closed, as in a restart.

Tests: TestUpgradeWithoutHandoverRefusesLateRequests (real processes) and TestLateRequestIsServedOnlyIfItsStreamCanMove fail without the question: the old process believes that late streams move.

--- a/cmd/rowanyard/drain_test.go
+++ b/cmd/rowanyard/drain_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -133,3 +135,28 @@
 		})
 	}
 }
+
+// Guards against streams that an upgrade loses because they can't be handed over, here for want of a socket: its path is too long
+// for the system. Late requests are refused as in a restart.
+func TestUpgradeWithoutHandoverRefusesLateRequests(t *testing.T) {
+	r := newUpgradeRig(t, standin.Options{Tokens: streamTokens, TokenInterval: streamTokenPeriod}, longDeadline, false)
+	const maxSocketPath = 107 // bytes
+	folder := filepath.Join(os.Getenv("TMPDIR"), strings.Repeat("d", maxSocketPath))
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TMPDIR", folder)
+	old := r.start("")
+	unused := sendPart(t, old, "unused", "send-message", "")
+	head := sendPart(t, old, "head", "send-message", "HTTP/1.1\r\n")
+	r.send(old, "later", "draft-reply").Body.Close() // the others have been accepted before
+	r.start("")
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.waitLog(t, `msg=draining .*handed_on=(true)`)
+	old.waitLog(t, `msg="admission closed" .*late_streams_move=(false)`)
+	if res, err := unused.finish(); err == nil {
+		t.Errorf("unused connection: %v, want its end", res)
+	}
+	head.checkRefused(t, "a part of the head")
+	old.waitLog(t, "msg=(ended)")
+}
--- a/internal/httpfront/drain_test.go
+++ b/internal/httpfront/drain_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -132,6 +133,67 @@
 	}
 }
 
+// Guards against streams that an upgrade loses because the newer process can't take them over: late requests are refused, and
+// unused connections closed, as if there were no such process. Where it can, late requests are served and their streams move.
+func TestLateRequestIsServedOnlyIfItsStreamCanMove(t *testing.T) {
+	text := withLongDeadline(requestText("one", contentLength(requestBody), requestBody))
+	for name, successor := range map[string]successorKind{"dead": dead, "stands still": standsStill} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			worker, begun, _ := streamingWorker(t)
+			f, lines := newLoggingFront(t, worker)
+			addr, reads := serveReportingReads(t, f)
+			path := filepath.Join(t.TempDir(), "s")
+			successor.listen(t, path, nil, nil)
+			unused, client := dialAndSend(t, addr, ""), dialAndSend(t, addr, text[:1])
+			waitForRequest(t, f, reads)
+			ended := startLateUpgrade(t, f, path)
+			lines.waitFor(t, "late_streams_move=false unused_connections_closed=1")
+			expectEOF(t, bufio.NewReader(unused))
+			io.WriteString(client, text[1:])
+			expectRefusal(t, bufio.NewReader(client))
+			receive(t, ended, "the end of Shutdown")
+			if len(begun) > 0 {
+				t.Error("the request has reached a worker")
+			}
+		})
+	}
+	worker, begun, goOn := streamingWorker(t)
+	f, lines := newLoggingFront(t, worker)
+	newer, newerLines := newLoggingFront(t, worker)
+	addr, reads := serveReportingReads(t, f)
+	path := filepath.Join(t.TempDir(), "s")
+	if err := newer.ReceiveStreams(path); err != nil {
+		t.Fatal(err)
+	}
+	unused, client := dialAndSend(t, addr, ""), dialAndSend(t, addr, text[:1])
+	waitForRequest(t, f, reads)
+	ended := startLateUpgrade(t, f, path)
+	lines.waitFor(t, "late_streams_move=true unused_connections_closed=0")
+	io.WriteString(client, text[1:])
+	receive(t, begun, "the first stream")
+	io.WriteString(unused, strings.Replace(text, "one", "two", 1))
+	receive(t, begun, "the second stream")
+	receive(t, ended, "the end of Shutdown")
+	close(goOn)
+	readStream(t, bufio.NewReader(client))
+	readStream(t, bufio.NewReader(unused))
+	if len(newerLines) > 0 {
+		t.Errorf("the newer process logs %q", <-newerLines)
+	}
+}
+
+// startLateUpgrade is startLateShutdown while another process receives streams at path, or does not.
+func startLateUpgrade(t *testing.T, f *Front, path string) (ended chan struct{}) {
+	f.core.CloseAdmission(time.Now())
+	ended = make(chan struct{})
+	go func() {
+		f.Shutdown(t.Context(), path)
+		close(ended)
+	}()
+	return ended
+}
+
 // Guards against a mend that turns requests away which are served in time: one that has come in full before the admission ends is
 // served to its end, also if its turn comes later, behind another one.
 func TestRequestsInTimeAreServed(t *testing.T) {
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -90,6 +91,23 @@
 	return awaitAccepted(c)
 }
 
+// receivesStreams reports whether the process that listens at path answers. It sends no stream and waits until that process
+// has closed the connection.
+func receivesStreams(path string) bool {
+	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
+	if err != nil {
+		return false
+	}
+	c := conn.(*net.UnixConn)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
+	if err := c.CloseWrite(); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
 // awaitAccepted waits until the other process confirms that it has accepted a stream. If that takes too long, it makes sure
 // that the other process can't confirm any more, on which that one drops the stream.
 func awaitAccepted(c *net.UnixConn) error {
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -78,8 +78,11 @@
 	return f.canHandOver()
 }
 
-// canHandOver reports whether streams can be handed over to another process.
-func (f *Front) canHandOver() bool { return f.successorPath.get() != "" }
+// canHandOver reports whether another process takes streams over now.
+func (f *Front) canHandOver() bool {
+	path := f.successorPath.get()
+	return path != "" && receivesStreams(path)
+}
 
 // Shutdown ends the front gracefully. It closes idle connections at once, answers the requests that have arrived and those
 // that the core still admits, hands over streams (see HandOverAfter), and cuts those that are still running when ctx ends. successor is the path at which another process, which by now listens at the same address and gets the new
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -69,6 +70,9 @@
 	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
 	text, rights := make([]byte, maxPositionBytes), make([]byte, syscall.CmsgSpace(handOverSockets*4))
 	n, m, _, _, err := c.ReadMsgUnix(text, rights)
+	if errors.Is(err, io.EOF) { // the older process asks whether this one answers, see receivesStreams
+		return nil
+	}
 	if err != nil {
 		return err
 	}
