In an upgrade, late requests whose streams can never move are refused

Cause: such streams can't be handed over, as their answers are not chunked or their worker's connection is not a socket of their own; the old process took the requests all the same.

Change: a late request is served only if it is of HTTP/1.1 and no listed worker speaks another protocol. Which worker a request will go to is not known when it is taken, so that one gRPC worker in the list is enough.

Tests: TestLateRequestIsRefusedIfItsStreamCanNeverMove fails without the change (200 for HTTP/1.0; the log says that late streams move), TestUpgradeWithoutHandoverRefusesLateRequests with gRPC workers as well.

--- a/cmd/rowanyard/drain_test.go
+++ b/cmd/rowanyard/drain_test.go
@@ -136,21 +136,32 @@
 	}
 }
 
-// Guards against streams that an upgrade loses because they can't be handed over, here for want of a socket: its path is too long
-// for the system. Late requests are refused as in a restart.
+// Guards against streams that an upgrade loses because they can't be handed over: for want of a socket, where its path is too long
+// for the system, and from workers that speak gRPC. Late requests are refused as in a restart.
 func TestUpgradeWithoutHandoverRefusesLateRequests(t *testing.T) {
-	r := newUpgradeRig(t, standin.Options{Tokens: streamTokens, TokenInterval: streamTokenPeriod}, longDeadline, false)
-	const maxSocketPath = 107 // bytes
-	folder := filepath.Join(os.Getenv("TMPDIR"), strings.Repeat("d", maxSocketPath))
-	if err := os.Mkdir(folder, 0o700); err != nil {
-		t.Fatal(err)
-	}
-	t.Setenv("TMPDIR", folder)
-	old := r.start("")
+	t.Run("long path", func(t *testing.T) {
+		r := newUpgradeRig(t, standin.Options{Tokens: streamTokens, TokenInterval: streamTokenPeriod}, longDeadline, false)
+		const maxSocketPath = 107 // bytes
+		folder := filepath.Join(os.Getenv("TMPDIR"), strings.Repeat("d", maxSocketPath))
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		t.Setenv("TMPDIR", folder)
+		checkUpgradeWithoutHandover(t, r, "")
+	})
+	t.Run("gRPC workers", func(t *testing.T) {
+		r := newUpgradeRig(t, standin.Options{GRPC: true, Tokens: streamTokens, TokenInterval: streamTokenPeriod}, longDeadline, false)
+		checkUpgradeWithoutHandover(t, r, `{"grpc":{"listen":"127.0.0.1:0","worker_hosts":["*"]}}`)
+	})
+}
+
+func checkUpgradeWithoutHandover(t *testing.T, r *upgradeRig, operator string) {
+	t.Helper()
+	old := r.start(operator)
 	unused := sendPart(t, old, "unused", "send-message", "")
 	head := sendPart(t, old, "head", "send-message", "HTTP/1.1\r\n")
 	r.send(old, "later", "draft-reply").Body.Close() // the others have been accepted before
-	r.start("")
+	r.start(operator)
 	old.cmd.Process.Signal(syscall.SIGTERM)
 	old.waitLog(t, `msg=draining .*handed_on=(true)`)
 	old.waitLog(t, `msg="admission closed" .*late_streams_move=(false)`)
--- a/internal/core/workerlist.go
+++ b/internal/core/workerlist.go
@@ -130,6 +130,18 @@
 	return ok
 }
 
+// AnyWorker reports whether match returns true for a listed worker.
+func (c *Core) AnyWorker(match func(Worker) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		if match(w) {
+			return true
+		}
+	}
+	return false
+}
+
 // Worker returns a listed worker, and whether there is one with the id.
 func (c *Core) Worker(id string) (Worker, bool) {
 	c.mu.Lock()
--- a/internal/httpfront/drain_test.go
+++ b/internal/httpfront/drain_test.go
@@ -13,6 +13,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"rowanyard/decide"
+	"rowanyard/internal/core"
 )
 
 // expectRefusal expects the answer 503 with Retry-After, which announces the end of the connection.
@@ -183,6 +186,45 @@
 	}
 }
 
+// Guards against streams that an upgrade loses because they can't be handed over, whoever takes over: those to clients of HTTP/1.0,
+// and those from workers that speak another protocol. Late requests for them are refused.
+func TestLateRequestIsRefusedIfItsStreamCanNeverMove(t *testing.T) {
+	text := withLongDeadline(requestText("one", contentLength(requestBody), requestBody))
+	for name, x := range map[string]struct {
+		text    string
+		bridged bool
+	}{
+		"HTTP/1.0":         {strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1), false},
+		"another protocol": {text, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			worker, begun, _ := streamingWorker(t)
+			f, lines := newLoggingFront(t, worker)
+			if x.bridged {
+				f.Bridges = map[string]Bridge{"other": func(decide.Request, string, string, []byte) core.Transport { return nil }}
+				f.core.SetWorkers(false, []core.Worker{{Addr: worker, Wire: "other", Server: decide.Server{ID: "bridged", Kind: 1}}})
+			}
+			newer, _ := newLoggingFront(t, worker)
+			path := filepath.Join(t.TempDir(), "s")
+			if err := newer.ReceiveStreams(path); err != nil {
+				t.Fatal(err)
+			}
+			addr, reads := serveReportingReads(t, f)
+			client := dialAndSend(t, addr, x.text[:1])
+			waitForRequest(t, f, reads)
+			ended := startLateUpgrade(t, f, path)
+			lines.waitFor(t, fmt.Sprintf("late_streams_move=%v", !x.bridged))
+			io.WriteString(client, x.text[1:])
+			expectRefusal(t, bufio.NewReader(client))
+			receive(t, ended, "the end of Shutdown")
+			if len(begun) > 0 {
+				t.Error("the request has reached a worker")
+			}
+		})
+	}
+}
+
 // startLateUpgrade is startLateShutdown while another process receives streams at path, or does not.
 func startLateUpgrade(t *testing.T, f *Front, path string) (ended chan struct{}) {
 	f.core.CloseAdmission(time.Now())
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"rowanyard/internal/core"
 )
 
 const (
@@ -73,15 +75,20 @@
 	f.log.Info("admission closed", "late_streams_move", canHandOver, "unused_connections_closed", closed)
 }
 
-// canMove reports whether the stream that answers a request can move to the process that takes over.
+// canMove reports whether the stream that answers a request can move to the process that takes over. Only a chunked answer can.
 func (f *Front) canMove(r *http.Request) bool {
-	return f.canHandOver()
+	return r.ProtoAtLeast(1, 1) && f.canHandOver()
 }
 
-// canHandOver reports whether another process takes streams over now.
+// canHandOver reports whether another process takes streams over now, from whichever worker they come.
 func (f *Front) canHandOver() bool {
 	path := f.successorPath.get()
-	return path != "" && receivesStreams(path)
+	return path != "" && !f.hasBridgedWorker() && receivesStreams(path)
+}
+
+// hasBridgedWorker reports whether a worker is listed that speaks another protocol than HTTP/1.1, whose streams can't be handed over.
+func (f *Front) hasBridgedWorker() bool {
+	return len(f.Bridges) > 0 && f.core.AnyWorker(func(w core.Worker) bool { return f.Bridges[w.Wire] != nil })
 }
 
 // Shutdown ends the front gracefully. It closes idle connections at once, answers the requests that have arrived and those
