A process that ends cuts no stream itself where clients do not ask for the rest

Responses that a proxy relays through the external processor broke 3.2 s after SIGTERM already.

Cause: streamDrainTime ended Front.Shutdown after 15 s, and the gRPC servers were stopped 0.2 s after the longest deadline. The time of the kill is "no sooner than", and no deadline bounds a stream's length.

Change: without `resume` the HTTP front and the external processor wait for the streams they carry. What could hold the process for ever has bounds of its own: a client that takes no data (30 s), a worker that falls silent (5 s), connections without a complete request (closed when the core takes no more), and now a gRPC peer that has vanished (keepalive, 40 s). With `resume` streams still end before the earliest kill, as their clients ask another router for the rest. gRPC streams still end with DATA_LOSS 0.5 s before it: cut by the kill they would look like a refusal, after which a send-message may be sent again.

Test: TestProcessThatEndsCutsNoStreamOfClientsThatDoNotResume has streams of 16.5 s now, one direct and one through a proxy; it fails on the code before (cut after 297 and 64 of 332 events).

--- a/cmd/rowanyard/main.go
+++ b/cmd/rowanyard/main.go
@@ -29,7 +29,6 @@
 	finalAnswerMargin          = 700 * time.Millisecond  // before the earliest kill, when open requests get their final answer
 	handOverMargin             = 1300 * time.Millisecond // before the earliest kill, when streams are handed over
 	minHandOverDelay           = 100 * time.Millisecond  // from the signal until streams are handed over, however early the kill
-	streamDrainTime            = 15 * time.Second        // for streams whose clients do not request the rest, where no kill comes
 )
 
 func main() {
--- a/cmd/rowanyard/process.go
+++ b/cmd/rowanyard/process.go
@@ -15,8 +15,6 @@
 	"strings"
 	"sync/atomic"
 
-	"google.golang.org/grpc"
-
 	"rowanyard/decide"
 	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/core"
@@ -64,7 +62,7 @@
 	control        *operator.Controller
 	serving        atomic.Bool
 	serveErrors    chan error // receives the error that ends a front
-	grpcServers    []*grpc.Server
+	grpcServers    []drainedServer
 	endGRPCStreams context.CancelFunc // ends the streams of gRPC clients; nil without a gRPC front
 	cleanups       []func()           // run by close in reverse order
 }
--- a/cmd/rowanyard/serve.go
+++ b/cmd/rowanyard/serve.go
@@ -22,6 +22,12 @@
 	"rowanyard/internal/grpcfront"
 )
 
+// drainedServer is a gRPC server with what its shutdown has to know.
+type drainedServer struct {
+	*grpc.Server
+	carriesStreams bool // a stream to a client breaks if its call is cut
+}
+
 // serve opens all fronts, the HTTP front last.
 func (p *process) serve() error {
 	listener, err := listenWithRetry(p.config.Listen)
@@ -51,31 +57,31 @@
 		p.onClose(endStreams)
 		front := grpcfront.NewServer(p.core, p.grpcWorkers, p.workers, p.site.ClassNames, file.GRPC.MaxOpen, p.log)
 		front.Streams = streams
-		if err := p.openGRPC("grpc", file.GRPC.Listen, front.GRPC(), clients); err != nil {
+		if err := p.openGRPC("grpc", file.GRPC.Listen, drainedServer{Server: front.GRPC()}, clients); err != nil {
 			return err
 		}
 	}
 	if file.ExtProc.Listen != "" {
 		front := &extproc.Server{Core: p.core, Coordinator: p.grants, Workers: p.workers, Classes: p.classes, Settings: p.core.Settings, Routes: p.routes,
 			Destination: file.ExtProc.DestinationHeader, AllowModeOverride: file.ExtProc.ModeOverride, MaxOpen: file.ExtProc.MaxOpen, Log: p.log}
-		if err := p.openGRPC("ext_proc", file.ExtProc.Listen, front.GRPC(), clients); err != nil {
+		if err := p.openGRPC("ext_proc", file.ExtProc.Listen, drainedServer{front.GRPC(), true}, clients); err != nil {
 			return err
 		}
 	}
 	if file.Decisions.Listen != "" {
 		front := &decisions.Server{Coordinator: p.grants, Classes: p.classes, Names: p.site.ClassNames, Settings: p.core.Settings, Routes: p.routes, Log: p.log}
-		if err := p.openGRPC("decisions", file.Decisions.Listen, front.GRPC(), clients); err != nil {
+		if err := p.openGRPC("decisions", file.Decisions.Listen, drainedServer{Server: front.GRPC()}, clients); err != nil {
 			return err
 		}
 	}
 	if file.Reports.Listen != "" {
-		return p.openGRPC("reports", file.Reports.Listen, p.cacheReports.GRPC(), clients)
+		return p.openGRPC("reports", file.Reports.Listen, drainedServer{Server: p.cacheReports.GRPC()}, clients)
 	}
 	return nil
 }
 
 // openGRPC serves a gRPC server at an address; name is used in logs and errors.
-func (p *process) openGRPC(name, addr string, server *grpc.Server, clients int) error {
+func (p *process) openGRPC(name, addr string, server drainedServer, clients int) error {
 	l, err := listenWithRetry(addr)
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
@@ -120,10 +126,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	streamsCtx := ctx
-	if !p.site.Resume { // a stream that is cut is a lost request
-		var cancelStreams context.CancelFunc
-		streamsCtx, cancelStreams = context.WithTimeout(context.Background(), max(limit, streamDrainTime))
-		defer cancelStreams()
+	if !p.site.Resume { // a stream that is cut is a lost request: only the kill ends it before its end
+		streamsCtx = context.Background()
 	}
 	p.front.HandOverAfter = max(minHandOverDelay, untilKilled-handOverMargin)
 	if p.endGRPCStreams != nil {
@@ -132,7 +136,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		p.drainGRPC(ctx)
+		p.drainGRPC(ctx, streamsCtx)
 	}()
 	p.front.Shutdown(streamsCtx, successor)
 	<-drained
@@ -164,12 +168,17 @@
 	return kill
 }
 
-// drainGRPC shuts the gRPC servers down gracefully, and forcibly once ctx ends.
-func (p *process) drainGRPC(ctx context.Context) {
+// drainGRPC shuts the gRPC servers down gracefully, and forcibly once ctx ends, or streamsCtx for those on whose calls streams to
+// clients depend.
+func (p *process) drainGRPC(ctx, streamsCtx context.Context) {
 	var servers sync.WaitGroup
 	for _, server := range p.grpcServers {
+		limit := ctx
+		if server.carriesStreams {
+			limit = streamsCtx
+		}
 		servers.Go(func() {
-			defer context.AfterFunc(ctx, server.Stop)()
+			defer context.AfterFunc(limit, server.Stop)()
 			server.GracefulStop()
 		})
 	}
--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -391,13 +391,19 @@
 const shortDeadline = time.Second
 
 // Guards against streams that a process cuts before the kill, although their clients do not request the rest and no other
-// process takes over: they go on to their end.
+// process takes over: they go on to their end, however late the kill is, also those that an external processor's proxy relays.
 func TestProcessThatEndsCutsNoStreamOfClientsThatDoNotResume(t *testing.T) {
-	r := newUpgradeRig(t, standin.Options{Tokens: 80, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
-	p := r.start("")
-	stream := r.send(p, "a", "send-message")
+	const tokens = 330 // 16.5 s
+	r := newUpgradeRig(t, standin.Options{Tokens: tokens, TokenInterval: 50 * time.Millisecond}, shortDeadline, false)
+	p := startProgram(t, r.config(), `{"ext_proc":{"listen":"127.0.0.1:0"}}`)
+	processor := dial(t, p.waitLog(t, `msg=serving .*front=ext_proc listen=(\S+)`))
+	p.http = "http://" + p.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
+	proxy := httptest.NewServer(&standin.Proxy{Processor: processor, Destination: extproc.DestinationHeader, Transport: &http.Transport{}})
+	t.Cleanup(proxy.Close)
+	direct, proxied := r.send(p, "direct", "send-message"), r.send(&program{http: proxy.URL}, "proxied", "send-message")
 	p.cmd.Process.Signal(syscall.SIGTERM)
-	r.checkStream(stream, "a")
+	r.checkStream(direct, "direct")
+	r.checkStream(proxied, "proxied")
 	p.waitLog(t, "msg=(ended)")
 }
 
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -31,8 +31,10 @@
 	maxMessageBytes   = 256<<10 + 4<<10 // a body of 256 KiB and the other fields
 	maxTokens         = 1 << 30
 	maxFirstTokenWait = 10 * time.Minute
-	handshakeTimeout  = 2 * time.Second // for the handshake of a new connection
-	connIdleTimeout   = time.Minute     // without a call
+	handshakeTimeout  = 2 * time.Second  // for the handshake of a new connection
+	connIdleTimeout   = time.Minute      // without a call
+	silenceTimeout    = 30 * time.Second // until a silent peer is asked for a sign ...
+	signTimeout       = 10 * time.Second // ... and until its calls end without one
 	maxStreamsPerConn = 256
 )
 
@@ -59,11 +61,12 @@
 	return s
 }
 
-// ServerLimits returns options that bound message sizes, headers, idle connections and concurrent streams of a gRPC server.
+// ServerLimits returns options that bound message sizes, headers, idle connections, calls of peers that have vanished and
+// concurrent streams of a gRPC server.
 func ServerLimits(message int) []grpc.ServerOption {
 	return []grpc.ServerOption{grpc.MaxRecvMsgSize(message), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxConcurrentStreams(maxStreamsPerConn),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: connIdleTimeout})}
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: connIdleTimeout, Time: silenceTimeout, Timeout: signTimeout})}
 }
 
 // GRPC returns a gRPC server with this front's service registered.
