A process that ends takes streams from an older one only while it can hand them on

Callers would see: an older process that hands its streams, or those of late requests, to one that is told to end a moment later, and the kill of that one cuts them.

Cause: a handover is one more way in which a process takes a request, and it did not look at whether the process ends.

Change: asked by an older process, one that ends declines unless a further process takes streams from it. The older one then refuses late requests. Streams that run already are still handed over: the newer process is killed later than the older one.

Test: TestEndingProcessTakesStreamsOnlyToHandThemOn; without the change the process says yes. No run with three real processes.

--- a/internal/httpfront/drain_test.go
+++ b/internal/httpfront/drain_test.go
@@ -225,6 +225,39 @@
 	}
 }
 
+// Guards against streams that are handed to a process which ends as well: it takes them only while it can hand them on itself.
+func TestEndingProcessTakesStreamsOnlyToHandThemOn(t *testing.T) {
+	worker, _, _ := streamingWorker(t)
+	f, lines := newLoggingFront(t, worker)
+	path := filepath.Join(t.TempDir(), "s")
+	if err := f.ReceiveStreams(path); err != nil {
+		t.Fatal(err)
+	}
+	defer f.receiver.listener.Close()
+	last, _ := newLoggingFront(t, worker)
+	if err := last.ReceiveStreams(path + ".last"); err != nil {
+		t.Fatal(err)
+	}
+	if !receivesStreams(path) {
+		t.Error("a process that goes on does not take streams over")
+	}
+	f.core.CloseAdmission(time.Now())
+	if receivesStreams(path) {
+		t.Error("a process that ends takes streams over")
+	}
+	f.successorPath.set(path + ".last")
+	if !receivesStreams(path) {
+		t.Error("a process that ends does not take streams over, although another one takes them from it")
+	}
+	last.receiver.listener.Close()
+	if receivesStreams(path) {
+		t.Error("a process that ends takes streams over after the one that took them from it has ended")
+	}
+	if len(lines) > 0 {
+		t.Errorf("the questions are logged: %q", <-lines)
+	}
+}
+
 // startLateUpgrade is startLateShutdown while another process receives streams at path, or does not.
 func startLateUpgrade(t *testing.T, f *Front, path string) (ended chan struct{}) {
 	f.core.CloseAdmission(time.Now())
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -19,6 +19,7 @@
 	handOverTimeout  = 300 * time.Millisecond // to connect to the other process, and for the exchange that follows
 	maxPositionBytes = 4 << 10                // of an encoded streamPosition
 	handOverSockets  = 2                      // the client's and the worker's
+	handOverDeclined = "-"                    // the answer no of a process that is asked whether it takes streams over
 )
 
 var (
@@ -91,8 +92,8 @@
 	return awaitAccepted(c)
 }
 
-// receivesStreams reports whether the process that listens at path answers. It sends no stream and waits until that process
-// has closed the connection.
+// receivesStreams asks the process that listens at path whether it takes streams over. It sends no stream and waits until that
+// process closes the connection, which means yes, or declines.
 func receivesStreams(path string) bool {
 	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
 	if err != nil {
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -70,8 +70,8 @@
 	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
 	text, rights := make([]byte, maxPositionBytes), make([]byte, syscall.CmsgSpace(handOverSockets*4))
 	n, m, _, _, err := c.ReadMsgUnix(text, rights)
-	if errors.Is(err, io.EOF) { // the older process asks whether this one answers, see receivesStreams
-		return nil
+	if errors.Is(err, io.EOF) {
+		return h.answerQuery(c)
 	}
 	if err != nil {
 		return err
@@ -94,6 +94,16 @@
 	})
 }
 
+// answerQuery answers an older process that asks whether this one takes streams over, see receivesStreams. One that ends itself
+// does only if it can hand them on.
+func (h *StreamReceiver) answerQuery(c *net.UnixConn) error {
+	if _, ending := h.front.core.AdmissionEnd(); !ending || h.front.canHandOver() {
+		return nil // the close that follows means yes
+	}
+	_, err := c.Write([]byte(handOverDeclined))
+	return err
+}
+
 func closeAll(fds []int) {
 	for _, fd := range fds {
 		syscall.Close(fd)
