Closing of unread connections has one loop; rejections of a process that ends are not logged as a full house

Two loops that closed connections by their state are one. CloseInactive works before Shutdown has begun, too. Names of the gRPC keepalive settings are the library's. Tests of httpfront and grpcfront pass with the race detector.

--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -33,8 +33,8 @@
 	maxFirstTokenWait = 10 * time.Minute
 	handshakeTimeout  = 2 * time.Second  // for the handshake of a new connection
 	connIdleTimeout   = time.Minute      // without a call
-	silenceTimeout    = 30 * time.Second // until a silent peer is asked for a sign ...
-	signTimeout       = 10 * time.Second // ... and until its calls end without one
+	keepaliveTime     = 30 * time.Second // without anything from the peer, until it is pinged ...
+	keepaliveTimeout  = 10 * time.Second // ... and until its calls end without an answer
 	maxStreamsPerConn = 256
 )
 
@@ -66,7 +66,7 @@
 func ServerLimits(message int) []grpc.ServerOption {
 	return []grpc.ServerOption{grpc.MaxRecvMsgSize(message), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxConcurrentStreams(maxStreamsPerConn),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: connIdleTimeout, Time: silenceTimeout, Timeout: signTimeout})}
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: connIdleTimeout, Time: keepaliveTime, Timeout: keepaliveTimeout})}
 }
 
 // GRPC returns a gRPC server with this front's service registered.
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -43,7 +43,7 @@
 	evicted     int              // connections closed for other ones since lastWarning
 	backlogOnly chan struct{}    // closed by closeAfterBacklog
 	closing     atomic.Bool      // connections are closed after their answer
-	rejectAll   bool             // each new connection is rejected
+	rejectAll   bool             // each new connection is rejected, as the process ends
 	open        inflight.Counter // connections that are not closed
 	acceptDone  chan struct{}    // closed once Accept is no longer called
 }
@@ -63,7 +63,9 @@
 		if x := l.admit(c); x != nil {
 			return x, nil
 		}
-		l.reportFull(&l.rejected)
+		if !l.rejectsAll() {
+			l.reportFull(&l.rejected)
+		}
 		l.rejecting <- struct{}{}
 		go func() {
 			defer func() { <-l.rejecting }()
@@ -225,6 +227,12 @@
 	}
 }
 
+func (l *clientListener) rejectsAll() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rejectAll
+}
+
 // evictOne evicts one connection, never one whose complete request is being served. If there is none to evict, wait is the
 // time until there may be one, or 0 if waiting does not help.
 func (l *clientListener) evictOne() (freed bool, wait time.Duration) {
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -231,19 +231,8 @@
 // requests have been read. With on false connections stay open again.
 func (l *clientListener) closeAfterAnswers(on bool) {
 	l.closing.Store(on)
-	if !on {
-		return
-	}
-	l.mu.Lock()
-	var idle []*clientConn
-	for c := range l.conns {
-		if c.state.Load() == connIdle {
-			idle = append(idle, c)
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.closeIfIdle()
+	if on {
+		l.closeUnread(connIdle)
 	}
 }
 
@@ -251,14 +240,22 @@
 func (l *clientListener) closeUnused() (closed int) {
 	l.mu.Lock()
 	l.rejectAll = true
-	var unused []*clientConn
+	l.mu.Unlock()
+	return l.closeUnread(connAwaitingHead)
+}
+
+// closeUnread closes the connections in a state on which nothing of a further request has been read. It returns how many it
+// closed.
+func (l *clientListener) closeUnread(state int32) (closed int) {
+	l.mu.Lock()
+	var candidates []*clientConn
 	for c := range l.conns {
-		if c.state.Load() == connAwaitingHead {
-			unused = append(unused, c)
+		if c.state.Load() == state {
+			candidates = append(candidates, c)
 		}
 	}
 	l.mu.Unlock()
-	for _, c := range unused {
+	for _, c := range candidates {
 		if c.closeIfIdle() {
 			closed++
 		}
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -43,7 +43,7 @@
 // has been read is refused. It is called during Shutdown, when the core takes no more requests.
 func (f *Front) CloseInactive() {
 	f.mu.Lock()
-	f.ending = f.closing
+	f.ending = true
 	f.mu.Unlock()
 	f.closeInactive()
 }
@@ -92,8 +92,9 @@
 }
 
 // Shutdown ends the front gracefully. It closes idle connections at once, answers the requests that have arrived and those
-// that the core still admits, hands over streams (see HandOverAfter), and cuts those that are still running when ctx ends. successor is the path at which another process, which by now listens at the same address and gets the new
-// connections, takes over streams; it is "" if there is none.
+// that the core still admits, hands over streams (see HandOverAfter), and cuts those that are still running when ctx ends.
+// successor is the path at which another process, which by now listens at the same address and gets the new connections,
+// takes over streams; it is "" if there is none.
 func (f *Front) Shutdown(ctx context.Context, successor string) {
 	defer f.stopClosingInactive()
 	f.mu.Lock()
