One reading of the clock for each read of a client's socket

The time of the first byte of a request is taken with that of the latest one, where there was a byte. Tests of httpfront pass with the race detector.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -277,9 +277,9 @@
 	n, err := c.readSocket(c.buf[len(c.buf):cap(c.buf)])
 	if n > 0 { // and not where net/http interrupts the read
 		c.lastReadAt = time.Now()
-	}
-	if len(c.buf) == 0 {
-		c.firstByteAt = time.Now()
+		if len(c.buf) == 0 {
+			c.firstByteAt = c.lastReadAt
+		}
 	}
 	c.buf = c.buf[:len(c.buf)+n]
 	return err
