One place connects to a process that receives streams; the tests of shutdowns share one start

sendStream and receivesStreams dialed and set their deadline each by itself; dialReceiver does it for both. startShutdown takes the path of the successor, in place of a second function that did.

--- a/internal/httpfront/drain_test.go
+++ b/internal/httpfront/drain_test.go
@@ -31,11 +31,12 @@
 	expectEOF(t, in)
 }
 
-// startLateShutdown shuts f down in the background, as if it had been told to end long ago: what comes from now on is late.
-func startLateShutdown(t *testing.T, f *Front) (ended chan struct{}) {
+// startLateShutdown shuts f down in the background, as if it had been told to end long ago: what comes from now on is
+// late. successor is as in startShutdown.
+func startLateShutdown(t *testing.T, f *Front, successor string) (ended chan struct{}) {
 	f.core.CloseAdmission(time.Now())
 	f.clients.closeAfterAnswers(true) // the first step of Shutdown
-	return startShutdown(t, f)
+	return startShutdown(t, f, successor)
 }
 
 // splitRequest is a request whose first part comes in time and whose rest comes late.
@@ -67,7 +68,7 @@
 				addr, reads := serveReportingReads(t, f)
 				client := dialAndSend(t, addr, request.inTime)
 				waitForRequest(t, f, reads)
-				ended := startLateShutdown(t, f)
+				ended := startLateShutdown(t, f, "")
 				io.WriteString(client, request.late)
 				expectRefusal(t, bufio.NewReader(client))
 				receive(t, ended, "the end of Shutdown")
@@ -108,7 +109,7 @@
 	if _, err := io.ReadAll(other); err != nil { // connections are accepted in their order
 		t.Fatal(err)
 	}
-	ended := startLateShutdown(t, f)
+	ended := startLateShutdown(t, f, "")
 	lines.waitFor(t, "unused_connections_closed=1")
 	expectEOF(t, bufio.NewReader(unused))
 	receive(t, ended, "the end of Shutdown")
@@ -150,7 +151,7 @@
 			successor.listen(t, path, nil, nil)
 			unused, client := dialAndSend(t, addr, ""), dialAndSend(t, addr, text[:1])
 			waitForRequest(t, f, reads)
-			ended := startLateUpgrade(t, f, path)
+			ended := startLateShutdown(t, f, path)
 			lines.waitFor(t, "late_streams_move=false unused_connections_closed=1")
 			expectEOF(t, bufio.NewReader(unused))
 			io.WriteString(client, text[1:])
@@ -171,7 +172,7 @@
 	}
 	unused, client := dialAndSend(t, addr, ""), dialAndSend(t, addr, text[:1])
 	waitForRequest(t, f, reads)
-	ended := startLateUpgrade(t, f, path)
+	ended := startLateShutdown(t, f, path)
 	lines.waitFor(t, "late_streams_move=true unused_connections_closed=0")
 	io.WriteString(client, text[1:])
 	receive(t, begun, "the first stream")
@@ -213,7 +214,7 @@
 			addr, reads := serveReportingReads(t, f)
 			client := dialAndSend(t, addr, x.text[:1])
 			waitForRequest(t, f, reads)
-			ended := startLateUpgrade(t, f, path)
+			ended := startLateShutdown(t, f, path)
 			lines.waitFor(t, fmt.Sprintf("late_streams_move=%v", !x.bridged))
 			io.WriteString(client, x.text[1:])
 			expectRefusal(t, bufio.NewReader(client))
@@ -258,17 +259,6 @@
 	}
 }
 
-// startLateUpgrade is startLateShutdown while another process receives streams at path, or does not.
-func startLateUpgrade(t *testing.T, f *Front, path string) (ended chan struct{}) {
-	f.core.CloseAdmission(time.Now())
-	ended = make(chan struct{})
-	go func() {
-		f.Shutdown(t.Context(), path)
-		close(ended)
-	}()
-	return ended
-}
-
 // Guards against a mend that turns requests away which are served in time: one that has come in full before the admission ends is
 // served to its end, also if its turn comes later, behind another one.
 func TestRequestsInTimeAreServed(t *testing.T) {
@@ -282,7 +272,7 @@
 	client := dialAndSend(t, addr, strings.Join(texts, ""))
 	receive(t, begun, "the first stream")
 	waitForPipelined(t, onlyConn(t, f), reads, 1)
-	ended := startLateShutdown(t, f)
+	ended := startLateShutdown(t, f, "")
 	in := bufio.NewReader(client)
 	goOn <- struct{}{}
 	readStream(t, in)
@@ -301,7 +291,7 @@
 	addr, reads := serveReportingReads(t, f)
 	client := dialAndSend(t, addr, requestText("one", contentLength(requestBody), requestBody[:1]))
 	waitForRequest(t, f, reads)
-	ended := startLateShutdown(t, f)
+	ended := startLateShutdown(t, f, "")
 	lines.waitFor(t, "admission closed")
 	f.core.Shutdown()
 	f.CloseInactive()
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -72,6 +72,16 @@
 	return nil
 }
 
+// dialReceiver connects to the process that receives streams at path. The exchange that follows must end within handOverTimeout.
+func dialReceiver(path string) (*net.UnixConn, error) {
+	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(handOverTimeout))
+	return conn.(*net.UnixConn), nil
+}
+
 // sendStream sends a stream's position and its sockets to the process that listens at path, and returns once that process
 // has accepted them. After an error it has not and never will. The sockets stay open in this process.
 func sendStream(path string, position streamPosition, client, worker int) error {
@@ -79,13 +89,11 @@
 	if err != nil {
 		return err
 	}
-	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
+	c, err := dialReceiver(path)
 	if err != nil {
 		return err
 	}
-	c := conn.(*net.UnixConn)
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
 	if _, _, err := c.WriteMsgUnix(text, syscall.UnixRights(client, worker), nil); err != nil {
 		return err
 	}
@@ -95,13 +103,11 @@
 // receivesStreams asks the process that listens at path whether it takes streams over. It sends no stream and waits until that
 // process closes the connection, which means yes, or declines.
 func receivesStreams(path string) bool {
-	conn, err := net.DialTimeout("unixpacket", path, handOverTimeout)
+	c, err := dialReceiver(path)
 	if err != nil {
 		return false
 	}
-	c := conn.(*net.UnixConn)
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(handOverTimeout))
 	if err := c.CloseWrite(); err != nil {
 		return false
 	}
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -90,11 +90,12 @@
 	}
 }
 
-// startShutdown shuts f down in the background and closes ended when Shutdown returns.
-func startShutdown(t *testing.T, f *Front) (ended chan struct{}) {
+// startShutdown shuts f down in the background and closes ended when Shutdown returns. successor is the path at which another
+// process receives streams, or "".
+func startShutdown(t *testing.T, f *Front, successor string) (ended chan struct{}) {
 	ended = make(chan struct{})
 	go func() {
-		f.Shutdown(t.Context(), "")
+		f.Shutdown(t.Context(), successor)
 		close(ended)
 	}()
 	return ended
@@ -135,7 +136,7 @@
 	receive(t, begun, "the first stream")
 	waitForPipelined(t, onlyConn(t, f), reads, 2)
 	f.clients.closeAfterAnswers(true) // the first step of Shutdown
-	ended := startShutdown(t, f)
+	ended := startShutdown(t, f, "")
 	in := bufio.NewReader(client)
 	for n := range texts {
 		if n > 0 {
@@ -162,7 +163,7 @@
 		client := dialAndSend(t, frontAddr, withLongDeadline(requestText("one", contentLength(requestBody), requestBody)))
 		in := bufio.NewReader(client)
 		receive(t, begun, name)
-		ended := startShutdown(t, f)
+		ended := startShutdown(t, f, "")
 		res, err := http.ReadResponse(in, nil)
 		if err != nil || !res.Close {
 			t.Fatalf("%s: %v %v, want the announcement of the close", name, res, err)
