Simulated workers count a message before its response can be received

Cause: Fleet.serve counted a message after it had written the response, and the test reads the counts once its client has the response; nothing orders the two. Change: a message is counted before its response, and bytes before they are written. Counts now promises that whoever has received a response finds it counted in full.

--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -50,6 +50,9 @@
 	MaxProbes   int   // probes at the worker that received the most
 }
 
+// atomicCount is a Count that several goroutines update.
+type atomicCount struct{ messages, in, out atomic.Int64 }
+
 // Options configures a Fleet.
 type Options struct {
 	Workers   int
@@ -64,7 +67,7 @@
 	listener net.Listener
 	port     string
 
-	counts      [kindCount]struct{ messages, in, out atomic.Int64 }
+	counts      [kindCount]atomicCount
 	connections atomic.Int64
 	probes      []atomic.Int64 // by worker
 
@@ -128,7 +131,7 @@
 // IsReader reports whether the worker with the given number is a reader.
 func (f *Fleet) IsReader(worker int) bool { return toyserver.IsReader(worker, f.options.Readers) }
 
-// Counts returns the counts since the start.
+// Counts returns the counts since the start. Whoever has received a response finds it counted in full.
 func (f *Fleet) Counts() Counts {
 	c := Counts{Connections: f.connections.Load()}
 	for k := range f.counts {
@@ -181,7 +184,8 @@
 // countingConn counts the bytes of a connection. It is used by one goroutine only.
 type countingConn struct {
 	net.Conn
-	in, out int64
+	in      int64        // bytes read
+	message *atomicCount // of the message being answered
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
@@ -190,9 +194,11 @@
 	return n, err
 }
 
+// Write counts the bytes before the peer can receive them.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.message.out.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.out += int64(n)
+	c.message.out.Add(int64(n - len(p)))
 	return n, err
 }
 
@@ -205,7 +211,7 @@
 	c := &countingConn{Conn: conn}
 	in := bufio.NewReaderSize(c, 4<<10)
 	for {
-		before := *c
+		inBefore := c.in
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -217,12 +223,10 @@
 		if kind == Probe {
 			f.probes[worker].Add(1)
 		}
-		err = f.respond(c, kind)
-		at := &f.counts[kind]
-		at.messages.Add(1)
-		at.in.Add(c.in - before.in)
-		at.out.Add(c.out - before.out)
-		if err != nil {
+		c.message = &f.counts[kind]
+		c.message.messages.Add(1)
+		c.message.in.Add(c.in - inBefore)
+		if f.respond(c, kind) != nil {
 			return
 		}
 	}
