Discovery that is silent is called again within the grace of a drain, beside the calls that wait

Cause: while discovery is silent, one call was made at a time. It was given up after 1 s (a list) or 2.5 s (a watch), and the pause after it grew to 2 s. Who returns from an outage while no call is open was heard of only after that pause; where lists are pushed, what it has counts as told at once. An agent that answers after 1 s or more was never heard at all. Change: a follower (follower.go) makes a further call beside those that wait, every 0.2 to 0.25 s where lists are pushed, at the rate of before where they are requested. Three are open at most: the oldest, which may be a slow one, with a patience that doubles up to 6 s, and the latest, as a call that has waited through an outage may never be answered. The first that is answered ends the others, under the lock under which lists are applied, so that no older list undoes a newer change. Refusals and resets are backed off and spread as before. The log has the start, the end and the reason of each call.

TestSilentWatchIsAborted now looks at the log of a whole Discovery, as the function that it called is gone, and has a bound (3 s) it did not have.

--- a/internal/httpfront/discovery_test.go
+++ b/internal/httpfront/discovery_test.go
@@ -85,7 +85,7 @@
 func (l *logRecorder) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if strings.Contains(string(p), "seq=12") {
+	if strings.Contains(string(p), `msg="worker list" seq=12 `) {
 		close(l.applied)
 	}
 	return l.text.Write(p)
@@ -166,13 +166,12 @@
 func TestUnreadableEntryKeepsItsWorker(t *testing.T) {
 	c, _ := core.New(decide.Settings{RouterCount: 1, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, discardLogger)
 	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, discardLogger)
-	ctx := t.Context()
 	apply := func(text string) error {
 		l, err := parseList([]byte(text))
 		if err != nil {
 			t.Fatal(err)
 		}
-		return d.apply(ctx, l)
+		return d.apply(l)
 	}
 	if err := apply(listJSON(1, true, "a", "b", "c")); err != nil {
 		t.Fatal(err)
@@ -240,21 +239,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before, cancelOld := context.WithCancel(t.Context())
-	if err := d.apply(before, old); err != nil || !c.HasWorker("old") {
-		t.Fatalf("the old address's list was not applied: %v", err)
-	}
 	m := newScriptedDiscovery(t, respondAndHold(listJSON(10, true, "a")), respondAndHold(listJSON(11, false, "b")+listJSON(12, false, "c=draining")))
 	d.mu.Lock()
-	d.addr, d.stop = "old", cancelOld
+	follower := newFollower(d, "old", 50)
+	d.current = follower
+	call := &discoveryCall{follower: follower}
+	call.ctx, call.stop = context.WithCancelCause(t.Context())
+	follower.calls = []*discoveryCall{call}
 	d.mu.Unlock()
+	if err := follower.apply(call, old); err != nil || !c.HasWorker("old") {
+		t.Fatalf("the old address's list was not applied: %v", err)
+	}
 	d.Follow(m.Listener.Addr().String(), 50)
 	select {
 	case <-log.applied:
 	case <-time.After(time.Minute):
 		t.Fatalf("not applied: %s", log)
 	}
-	if err := d.apply(before, old); err == nil {
+	if err := follower.apply(call, old); err == nil {
 		t.Error("the old address's list was applied after the move")
 	}
 	if c.HasWorker("old") || !c.HasWorker("a") || !c.HasWorker("c") {
--- a/internal/httpfront/discoverytiming_test.go
+++ b/internal/httpfront/discoverytiming_test.go
@@ -6,9 +6,9 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -227,12 +227,17 @@
 
 // follow returns a Discovery that follows a, for one of the given number of routers, and its core.
 func (a *fakeDiscovery) follow(routers int) (*Discovery, *core.Core) {
+	return a.followLogged(routers, discardLogger)
+}
+
+// followLogged is follow with a log.
+func (a *fakeDiscovery) followLogged(routers int, log *slog.Logger) (*Discovery, *core.Core) {
 	c, err := core.New(decide.Settings{RouterCount: routers, Kinds: []decide.Kind{{Role: decide.Reader}}}, 1, nil, discardLogger)
 	if err != nil {
 		a.t.Fatal(err)
 	}
 	c.SetWorkers(true, []core.Worker{{Addr: "127.0.0.1:1", Server: decide.Server{ID: "a"}}})
-	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, discardLogger)
+	d := NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, log)
 	d.dial = a.dial
 	d.Follow("agent:1", 7)
 	return d, c
@@ -325,16 +330,16 @@
 	}
 }
 
-// A watch without any data ends with an error that says so.
+// A watch without any data ends, and the log says why.
 func TestSilentWatchIsAborted(t *testing.T) {
+	log := &logRecorder{applied: make(chan struct{})}
 	synctest.Test(t, func(t *testing.T) {
 		a := &fakeDiscovery{t: t, started: time.Now(), reachableAt: time.Hour, changedAt: time.Hour, phases: []failurePhase{{"sends nothing", time.Hour}}}
-		d, _ := a.follow(3)
+		d, _ := a.followLogged(3, slog.New(slog.NewTextHandler(log, nil)))
 		defer closeAndWait(d)
-		after, lastHeard := int64(7), time.Now()
-		err := d.watchOnce(t.Context(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: a.dial}}, "agent:1", &after, &lastHeard)
-		if err == nil || errors.Is(err, io.ErrUnexpectedEOF) || !strings.Contains(err.Error(), "silent") {
-			t.Errorf("ended with %v", err)
-		}
+		time.Sleep(3 * time.Second)
 	})
+	if text := log.String(); !strings.Contains(text, `msg="watch ended"`) || !strings.Contains(text, "n=1 ") || !strings.Contains(text, `err="discovery is silent"`) {
+		t.Errorf("no silent watch was ended: %s", text)
+	}
 }
--- /dev/null
+++ b/internal/httpfront/follower.go
@@ -0,0 +1,244 @@
+package httpfront
+
+// A follower keeps the core's worker list up to date from one address of discovery. While discovery is silent, it makes
+// further calls beside those that wait: a call that has waited through an outage may never be answered, and a slow one may be
+// answered later. The first call that is answered stays open, and the others end.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	maxOpenCalls = 3                // the oldest, which may wait for long, and the latest
+	minPatience  = firstLineTimeout // for an answer to the oldest call, doubled each time that there is none ...
+	maxPatience  = changeDeadline   // ... up to this
+)
+
+// follower makes the calls to one address. Discovery.mu guards its fields below wake.
+type follower struct {
+	discovery *Discovery
+	addr      string
+	client    *http.Client
+	ctx       context.Context
+	stop      context.CancelFunc
+	wake      chan struct{} // receives a value when the next call may be due earlier
+
+	version   int64            // of the list that the core has; unknownVersion: the full list is requested
+	calls     []*discoveryCall // open, the oldest first
+	callCount int
+	failures  int           // calls that have failed since one lasted for changeDeadline
+	patience  time.Duration // for an answer to the oldest call
+	notBefore time.Time     // of the next call
+}
+
+func newFollower(d *Discovery, addr string, version int64) *follower {
+	f := &follower{discovery: d, addr: addr, version: version, patience: minPatience, wake: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dial}}}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	return f
+}
+
+// run makes calls until the follower is stopped.
+func (f *follower) run() {
+	for f.ctx.Err() == nil {
+		next := time.NewTimer(f.startCallIfDue())
+		select {
+		case <-f.ctx.Done():
+		case <-f.wake:
+		case <-next.C:
+		}
+		next.Stop()
+	}
+}
+
+// end stops the follower and ends its calls. Nothing is applied from them any more.
+func (f *follower) end(cause error) {
+	for _, c := range slices.Clone(f.calls) {
+		f.endCall(c, cause)
+	}
+	f.stop()
+}
+
+// startCallIfDue starts a call if one is due, and returns how long to wait for the next one.
+func (f *follower) startCallIfDue() time.Duration {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	now := time.Now()
+	if f.ctx.Err() == nil && !now.Before(f.nextCallAt()) {
+		reason := f.callReason()
+		f.giveUpCalls(now)
+		f.startCall(now, reason)
+	}
+	return f.nextCallAt().Sub(now)
+}
+
+// nextCallAt returns when the next call is due.
+func (f *follower) nextCallAt() time.Time {
+	at := f.notBefore
+	for _, c := range f.calls {
+		if c.suspectAt.After(at) {
+			at = c.suspectAt
+		}
+	}
+	return at
+}
+
+// callReason returns why the next call is made, for the log.
+func (f *follower) callReason() string {
+	switch {
+	case f.callCount == 0:
+		return "address"
+	case len(f.calls) == 0:
+		return "call ended"
+	case f.calls[0].lastHeard.After(f.calls[0].began):
+		return "watch silent"
+	}
+	return "no answer"
+}
+
+// giveUpCalls makes room for a further call.
+func (f *follower) giveUpCalls(now time.Time) {
+	if len(f.calls) > 0 && now.Sub(f.calls[0].lastHeard) >= f.patience {
+		f.endCall(f.calls[0], errSilent)
+		f.failures++
+		f.patience = min(2*f.patience, maxPatience)
+	}
+	if len(f.calls) >= maxOpenCalls {
+		f.endCall(f.calls[1], errTooManyWaiting)
+	}
+}
+
+func (f *follower) startCall(now time.Time, reason string) {
+	f.callCount++
+	c := &discoveryCall{follower: f, number: f.callCount, after: f.version, began: now, lastHeard: now,
+		suspectAt: now.Add(f.pace().answerWait(f.version, f.failures))}
+	c.ctx, c.stop = context.WithCancelCause(f.ctx)
+	f.calls = append(f.calls, c)
+	f.discovery.Log.Info("discovery call", "addr", f.addr, "n", c.number, "seq", c.after, "why", reason, "open", len(f.calls))
+	go c.run()
+}
+
+func (f *follower) pace() callPace { return newCallPace(f.discovery.Core.Settings()) }
+
+// endCall ends a call, from which nothing is applied any more.
+func (f *follower) endCall(c *discoveryCall, cause error) {
+	c.stop(cause)
+	f.calls = slices.DeleteFunc(f.calls, func(open *discoveryCall) bool { return open == c })
+}
+
+// callEnded records and logs the end of a call.
+func (f *follower) callEnded(c *discoveryCall, err error) {
+	d := f.discovery
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	fields := []any{"addr", f.addr, "n", c.number, "took_ms", now.Sub(c.began).Milliseconds(), "seq", c.after}
+	endedHere := !f.isOpen(c)
+	if endedHere && !errors.Is(err, errSilent) {
+		d.Log.Info("discovery call ended", append(fields, "why", err)...)
+		return
+	}
+	if !endedHere {
+		f.endCall(c, nil)
+		f.notBefore = now.Add(f.pauseAfter(c, now, err))
+		f.wakeUp()
+	}
+	d.Log.Warn("watch ended", append(fields, "again_ms", max(0, f.nextCallAt().Sub(now)).Milliseconds(), "err", err)...)
+}
+
+// pauseAfter returns how long to wait after a call that failed with err, and counts the failure.
+func (f *follower) pauseAfter(c *discoveryCall, now time.Time, err error) time.Duration {
+	end := callEnd{version: f.version, failures: f.failures, age: now.Sub(c.began), silence: now.Sub(c.lastHeard)}
+	if end.age > changeDeadline { // the watch lasted for a while
+		end.failures = 0
+	}
+	f.failures = end.failures + 1
+	return f.pace().pauseAfter(end, err)
+}
+
+// wakeUp has run look at once when the next call is due.
+func (f *follower) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// watchBegun notes that discovery serves the watch of a call.
+func (f *follower) watchBegun(c *discoveryCall) {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	c.watching = true
+	c.suspectAt = time.Now().Add(f.waitFor(c))
+}
+
+// partReceived notes that a part of a list has arrived, whose rest follows at once.
+func (f *follower) partReceived(c *discoveryCall) {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	c.suspectAt = time.Now().Add(f.pace().answerWait(f.version, f.failures))
+}
+
+// waitFor returns how long a call may stay without a further sign of life.
+func (f *follower) waitFor(c *discoveryCall) time.Duration {
+	if c.watching {
+		return f.pace().lineWait()
+	}
+	return f.pace().answerWait(f.version, f.failures)
+}
+
+// listUnchanged notes that discovery has confirmed the list.
+func (f *follower) listUnchanged(c *discoveryCall) {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return
+	}
+	f.answered(c)
+	f.discovery.Core.ListConfirmed()
+}
+
+// changeLost notes that a change could not be read, so that the full list is requested next.
+func (f *follower) changeLost(c *discoveryCall) {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	if f.isOpen(c) {
+		f.version = unknownVersion
+	}
+}
+
+// isOpen reports whether a call has not been ended by this process.
+func (f *follower) isOpen(c *discoveryCall) bool { return slices.Contains(f.calls, c) }
+
+// answered notes that a call has received a line, which ends all other calls.
+func (f *follower) answered(c *discoveryCall) {
+	for _, other := range slices.Clone(f.calls) {
+		if other != c {
+			f.endCall(other, errOtherAnswered)
+		}
+	}
+	c.lastHeard = time.Now()
+	c.suspectAt = c.lastHeard.Add(f.waitFor(c))
+	f.patience = minPatience
+}
+
+// apply passes a list that a call has received to the core, unless the call was ended before: a late list must not undo
+// what another call, or another address, has sent since.
+func (f *follower) apply(c *discoveryCall, l List) error {
+	f.discovery.mu.Lock()
+	defer f.discovery.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return context.Cause(c.ctx)
+	}
+	if err := f.discovery.apply(l); err != nil {
+		return err
+	}
+	f.version = l.Seq
+	f.answered(c)
+	f.discovery.Log.Info("worker list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts), "addr", f.addr, "n", c.number)
+	return nil
+}
