A test removes the shared folder at once, while processes write to it

TestEffectsAreNotRiskedWithoutSharedFolder failed once beside other tests ("unlinkat ...: directory not empty"): RemoveAll lists the folder and removes it afterwards, and a process wrote a file in between.

--- a/cmd/rowanyard/upgrade_test.go
+++ b/cmd/rowanyard/upgrade_test.go
@@ -533,7 +533,8 @@
 	second := r.start(operator)
 	firstCaller, secondCaller := r.newCaller(first), r.newCaller(second)
 	secondCaller.check("both run", "a", codes.OK)
-	if err := os.RemoveAll(os.Getenv("TMPDIR")); err != nil {
+	folder := os.Getenv("TMPDIR")
+	if err := os.Rename(folder, folder+".removed"); err != nil { // at once, while processes write to it
 		t.Fatal(err)
 	}
 	firstCaller.check("no folder", "b", codes.Unavailable)
