After a move the old agent's watch is read until the new agent has sent a list

What callers could see: after SIGHUP named an agent that is silent, the router knew nothing newer than the signal, although its old agent keeps open watches for 1.5 s and still had the news. Change: a follower that is replaced makes no further calls, but its answered call goes on until the new one has applied a list. Both happen under one lock, so nothing from the old address is applied after that. Its empty lines confirm nothing any more.

--- a/internal/httpfront/discovery.go
+++ b/internal/httpfront/discovery.go
@@ -105,6 +105,7 @@
 
 	mu        sync.Mutex
 	current   *follower     // of the address that is followed; nil: none
+	previous  *follower     // of the address before, until current has received a list; nil: none
 	firstList chan struct{} // closed once a list was received
 }
 
@@ -122,9 +123,10 @@
 // unknownVersion makes the watch request the full list first.
 const unknownVersion = -1
 
-// Follow watches addr from now on and no other address. after is the version of the list that the core has. Versions of
-// different addresses can't be compared: if another address was followed before, the full list is requested, and the
-// current one stays in use until it arrives. Following the same address again has no effect.
+// Follow watches addr from now on. after is the version of the list that the core has. Versions of different addresses
+// can't be compared: if another address was followed before, the full list is requested. The current list stays in use until
+// that arrives, and so does the watch at the address before, to which no further calls are made. Following the same address
+// again has no effect.
 func (d *Discovery) Follow(addr string, after int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -132,7 +134,10 @@
 		if d.current.addr == addr {
 			return
 		}
-		d.current.end(errAddressChanged)
+		if d.current.retire() {
+			d.endPrevious(nil)
+			d.previous = d.current
+		}
 		after = unknownVersion
 	}
 	d.current = newFollower(d, addr, after)
@@ -143,8 +148,18 @@
 func (d *Discovery) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.current != nil {
-		d.current.end(errClosed)
+	for _, f := range []*follower{d.current, d.previous} {
+		if f != nil {
+			f.end(errClosed)
+		}
+	}
+}
+
+// endPrevious ends the watch at the address before, unless that is the one that has received a list. The caller holds d.mu.
+func (d *Discovery) endPrevious(received *follower) {
+	if d.previous != nil && d.previous != received {
+		d.previous.end(errAddressChanged)
+		d.previous = nil
 	}
 }
 
--- a/internal/httpfront/discoverycall.go
+++ b/internal/httpfront/discoverycall.go
@@ -39,6 +39,7 @@
 	lastHeard time.Time // when a line last arrived, or when the call began
 	suspectAt time.Time // a further call is made unless there is a sign of life before
 	watching  bool      // the head of the watch has arrived
+	answered  bool      // a line has arrived
 }
 
 // run makes the call and applies what arrives until it ends.
--- a/internal/httpfront/follower.go
+++ b/internal/httpfront/follower.go
@@ -23,7 +23,7 @@
 	discovery *Discovery
 	addr      string
 	client    *http.Client
-	ctx       context.Context
+	ctx       context.Context // ends when no further calls are made
 	stop      context.CancelFunc
 	wake      chan struct{} // receives a value when the next call may be due earlier
 
@@ -55,6 +55,18 @@
 	}
 }
 
+// retire has the follower make no further calls. A call that was answered goes on, and its lists are applied until end is
+// called. retire reports whether there is one.
+func (f *follower) retire() bool {
+	f.stop()
+	for _, c := range slices.Clone(f.calls) {
+		if !c.answered {
+			f.endCall(c, errAddressChanged)
+		}
+	}
+	return len(f.calls) > 0
+}
+
 // end stops the follower and ends its calls. Nothing is applied from them any more.
 func (f *follower) end(cause error) {
 	for _, c := range slices.Clone(f.calls) {
@@ -94,7 +106,7 @@
 		return "address"
 	case len(f.calls) == 0:
 		return "call ended"
-	case f.calls[0].lastHeard.After(f.calls[0].began):
+	case f.calls[0].answered:
 		return "watch silent"
 	}
 	return "no answer"
@@ -116,7 +128,7 @@
 	f.callCount++
 	c := &discoveryCall{follower: f, number: f.callCount, after: f.version, began: now, lastHeard: now,
 		suspectAt: now.Add(f.pace().answerWait(f.version, f.failures))}
-	c.ctx, c.stop = context.WithCancelCause(f.ctx)
+	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	f.calls = append(f.calls, c)
 	f.discovery.Log.Info("discovery call", "addr", f.addr, "n", c.number, "seq", c.after, "why", reason, "open", len(f.calls))
 	go c.run()
@@ -138,7 +150,8 @@
 	now := time.Now()
 	fields := []any{"addr", f.addr, "n", c.number, "took_ms", now.Sub(c.began).Milliseconds(), "seq", c.after}
 	endedHere := !f.isOpen(c)
-	if endedHere && !errors.Is(err, errSilent) {
+	if endedHere && !errors.Is(err, errSilent) || f.ctx.Err() != nil {
+		f.endCall(c, nil)
 		d.Log.Info("discovery call ended", append(fields, "why", err)...)
 		return
 	}
@@ -199,7 +212,9 @@
 		return
 	}
 	f.answered(c)
-	f.discovery.Core.ListConfirmed()
+	if f.ctx.Err() == nil { // else the list of another address may be newer
+		f.discovery.Core.ListConfirmed()
+	}
 }
 
 // changeLost notes that a change could not be read, so that the full list is requested next.
@@ -221,7 +236,7 @@
 			f.endCall(other, errOtherAnswered)
 		}
 	}
-	c.lastHeard = time.Now()
+	c.answered, c.lastHeard = true, time.Now()
 	c.suspectAt = c.lastHeard.Add(f.waitFor(c))
 	f.patience = minPatience
 }
@@ -239,6 +254,7 @@
 	}
 	f.version = l.Seq
 	f.answered(c)
+	f.discovery.endPrevious(f)
 	f.discovery.Log.Info("worker list", "seq", l.Seq, "whole", l.Whole, "entries", len(l.Hosts), "addr", f.addr, "n", c.number)
 	return nil
 }
--- a/internal/httpfront/silentdiscovery_test.go
+++ b/internal/httpfront/silentdiscovery_test.go
@@ -311,6 +311,26 @@
 	}
 }
 
+// The old agent's news is applied until the new one has sent a list, and not after that.
+func TestOldAgentIsHeardUntilTheNewOneHasSpoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSilentFleet(t, decide.Settings{RouterCount: 4})
+		defer closeAndWait(f.discovery)
+		old := f.follow("agent:1", agentScript{silentFrom: quietTime, returnsAt: quietTime, watchesSurvive: true})
+		time.Sleep(quietTime - 100*time.Millisecond)
+		f.follow("agent:2", agentScript{returnsAt: 10 * time.Second})
+		if took := f.untilDrainApplied(time.Second); took > 200*time.Millisecond {
+			t.Errorf("what the old agent sent 100 ms after the move was applied after %v", took)
+		}
+		time.Sleep(11 * time.Second)
+		old.mu.Lock()
+		defer old.mu.Unlock()
+		if old.open != 0 || old.calls != 1 {
+			t.Errorf("%d calls of the old agent are open after the new one has sent its list, %d were made", old.open, old.calls)
+		}
+	})
+}
+
 // However long discovery is silent, few calls wait for it at once, and its return is answered by few lists.
 func TestCallsToSilentDiscoveryAreBounded(t *testing.T) {
 	const silence, most, perSecond = time.Minute, 4, 6
