A pushed watch that was served and is reset is opened again within the grace of a drain

What callers could see: after a reset of a watch that had been served, a router of a fleet of 300 knew nothing for up to 4.5 s, a drain told meanwhile counted as told at once, and new work went to the worker. Cause: a reset was taken for a refusal by a discovery without room, whatever the connection had been before. The pause grows with the number of routers. Change: where lists are pushed, a call that was answered and had lasted for a second was not ended for want of room; it is made again after 0.05 to 0.25 s, with jitter. Other resets and refusals stay backed off and spread (TestCallsOfManyRoutersAreSpread, unchanged).

--- a/internal/httpfront/discoverypace.go
+++ b/internal/httpfront/discoverypace.go
@@ -24,7 +24,8 @@
 	moveDeadline             = 4 * time.Second
 	answerAllowance          = 1500 * time.Millisecond
 	maxAnswerWait            = 250 * time.Millisecond  // for a pushed list, before a further call
-	minRetryPause            = 50 * time.Millisecond   // after a call for a pushed list
+	minRetryPause            = 50 * time.Millisecond   // after a call for a pushed list; maxAnswerWait at most
+	minServedTime            = time.Second             // of a call that discovery had room for
 	minBackoff               = 200 * time.Millisecond  // a requested list that failed is requested again after up to this, doubled ...
 	maxBackoff               = 2 * time.Second         // ... for each failure since the last call that lasted, up to this
 	overloadBackoffPerRouter = 150 * time.Millisecond  // under overload all routers together make one call in this time, doubled likewise
@@ -67,8 +68,8 @@
 
 // pauseAfter returns how long to wait after call failed with err.
 func (p callPace) pauseAfter(call callEnd, err error) time.Duration {
-	if p.pushed && !isOverload(err) {
-		return max(minRetryPause, p.answerWait(call.version, call.failures)-call.age)
+	if p.pushed && (!isOverload(err) || call.lasted()) {
+		return max(p.answerWait(call.version, call.failures)-call.age, minRetryPause+rand.N(maxAnswerWait-minRetryPause))
 	}
 	interval := max(minBackoff, overloadBackoffPerRouter*time.Duration(p.routerCount)) // all routers share discovery
 	return backoff(err, call.failures, interval, deadlineFor(call.version)-answerAllowance-call.silence)
@@ -80,8 +81,12 @@
 	failures int   // calls that had failed before, since one lasted
 	age      time.Duration
 	silence  time.Duration // since discovery's last line, or since the call began
+	answered bool
 }
 
+// lasted reports whether the call was served for a while: whatever ended it, discovery had room for it.
+func (c callEnd) lasted() bool { return c.answered && c.age >= minServedTime }
+
 // deadlineFor returns how soon a change must be applied if the core has the given version of the list.
 func deadlineFor(version int64) time.Duration {
 	if version == unknownVersion {
--- a/internal/httpfront/follower.go
+++ b/internal/httpfront/follower.go
@@ -165,7 +165,7 @@
 
 // pauseAfter returns how long to wait after a call that failed with err, and counts the failure.
 func (f *follower) pauseAfter(c *discoveryCall, now time.Time, err error) time.Duration {
-	end := callEnd{version: f.version, failures: f.failures, age: now.Sub(c.began), silence: now.Sub(c.lastHeard)}
+	end := callEnd{version: f.version, failures: f.failures, age: now.Sub(c.began), silence: now.Sub(c.lastHeard), answered: c.answered}
 	if end.age > changeDeadline { // the watch lasted for a while
 		end.failures = 0
 	}
--- a/internal/httpfront/silentdiscovery_test.go
+++ b/internal/httpfront/silentdiscovery_test.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,6 +163,35 @@
 	discovery *Discovery
 	core      *core.Core
 	agents    sync.Map // address to *silentAgent
+
+	mu    sync.Mutex
+	conns []*resettableConn
+}
+
+// resettableConn is a connection that a test can reset.
+type resettableConn struct {
+	net.Conn
+	isReset atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *resettableConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && c.isReset.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// resetConnections resets all connections to discovery.
+func (f *silentFleet) resetConnections() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		c.isReset.Store(true)
+		c.Conn.Close()
+	}
+	f.conns = nil
 }
 
 func newSilentFleet(t *testing.T, settings decide.Settings) *silentFleet {
@@ -173,7 +204,11 @@
 	f := &silentFleet{core: c, discovery: NewDiscovery(Names{Kinds: []string{"m"}, Zones: []string{"a"}}, c, 0, discardLogger)}
 	f.discovery.dial = func(_ context.Context, _, addr string) (net.Conn, error) {
 		a, _ := f.agents.Load(addr)
-		return a.(*silentAgent).dial(), nil
+		c := &resettableConn{Conn: a.(*silentAgent).dial()}
+		f.mu.Lock()
+		f.conns = append(f.conns, c)
+		f.mu.Unlock()
+		return c, nil
 	}
 	return f
 }
@@ -357,3 +392,23 @@
 		})
 	}
 }
+
+// A watch that has lasted and is reset is opened again within the grace. Resets by discovery that has no room stay backed off
+// (TestCallsOfManyRoutersAreSpread).
+func TestDrainAfterAResetWatchIsAppliedWithinGrace(t *testing.T) {
+	worst := time.Duration(0)
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSilentFleet(t, decide.Settings{RouterCount: 300})
+			defer closeAndWait(f.discovery)
+			f.follow("agent:1", agentScript{silentFrom: time.Hour, returnsAt: time.Hour})
+			time.Sleep(3 * time.Second)
+			f.agents.Store("agent:1", &silentAgent{started: time.Now()})
+			f.resetConnections()
+			worst = max(worst, f.untilDrainApplied(changeDeadline))
+		})
+	}
+	if worst > drainGrace-heldUpSlack {
+		t.Errorf("applied %v after the reset", worst)
+	}
+}
