Only an answer to a write shows that it has arrived: the state is released by limit and slack

Cause: a write that went out on a connection that had answered right before, to a worker that has answered anything since, was taken to wait in that worker's queue, and its state was kept for good: by the module (checkHeldState), by the guard (hasVerifiedWrite) and, as its attempt ended, by a new start of the holding time (core and module). A connection that falls silent, or a worker that hangs on requests and answers probes, looks just like that. Change: what shows arrival is said once, in heldstate.go, and holds for module, guard and core: an answer to the attempt. ConnectionVerified and Attempt.Verified are gone; the check of a connection before a write stays. At the limit, or 0.2 s later where the writer has answered anything since, the state is released; a release leaves what an arrived write waits for. An attempt that ends in between without an answer has its state released then, and the prompt is read anew. TestEarlyAnswerDoesNotKeepState and TestClosingGuardIgnoresVerifiedWrites demanded the fault. In their place TestAnswersToProbesDoNotKeepState demands the release for answers at any time, and TestClosingGuardCountsAStateOnce that the guard counts one violation and does not spin. TestRepeatMustArriveWithinKeyedWindow runs the timers that a router would have run by the time of its events: without them nothing had been released 4 s after the read.

--- a/cmd/rowanyard/incident_test.go
+++ b/cmd/rowanyard/incident_test.go
@@ -1,7 +1,7 @@
 package main
 
-// Reproduces the incident of docs/incidents/2026-12-02-held-state.md with real processes: states held at a reader were
-// neither fetched by a writer nor released in time.
+// Reproduces the incidents of docs/incidents/2026-12-02-held-state.md and 2026-12-05-silent-discovery.md with real processes:
+// states held at a reader were neither fetched by a writer nor released in time.
 
 import (
 	"fmt"
@@ -184,3 +184,20 @@
 	}
 	return time.Since(at).Abs()
 }
+
+// A writer replies on the connection that a write is to use, takes nothing of the write that follows and goes on answering
+// probes: that does not show that the write has arrived. The state must be released within the limit, for every class.
+func TestStateIsReleasedInTimeWhenWriterTakesNoWrite(t *testing.T) {
+	states := newHeldStates()
+	_, p := startRouter(t, standin.Options{Readers: 2, Writers: 3, ReadDuration: 30 * time.Millisecond, OnEvent: states.record,
+		FaultFor: func(stage, _ string, _ int) standin.Fault {
+			if stage == "write" {
+				return standin.Hang
+			}
+			return standin.None
+		}}, "")
+	const requests = 8
+	all := startRequests(t, p, "a", requests)
+	states.checkHoldTimes(t, requests)
+	all.Wait()
+}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -292,7 +292,9 @@
 		r, rec := newTestRouter(t, cfg, testServers())
 		r.Request(0, testRequest(1))
 		r.Outcome(50*ms, Outcome{ID: 1, Server: rec.lastServer(), Status: Read, Elapsed: 50 * ms})
-		r.Probed(50*ms+c.at, Probed{Server: rec.lastServer(), QueuedRequests: -1, QueuedTokens: -1}) // the server is reachable, so the state is still held
+		rec.runTimers(r, 1, 50*ms+c.at/2)
+		r.Probed(50*ms+c.at/2, Probed{Server: rec.lastServer(), QueuedRequests: -1, QueuedTokens: -1}) // the server is reachable, so the state is still held
+		rec.runTimers(r, 1, 50*ms+c.at-1)
 		r.Outcome(50*ms+c.at, Outcome{ID: 1, Attempt: 1, Server: rec.lastServer(), Status: TimedOut})
 		if repeated := len(rec.sends) > 2; repeated != c.repeated {
 			t.Errorf("window %v, %v after the write: repeated = %v; %v", c.window, c.at, repeated, rec.calls)
--- a/decide/heldstate.go
+++ b/decide/heldstate.go
@@ -1,13 +1,12 @@
 package decide
 
-import "time"
-
 // Handling of a state that a reader holds for a request while its write is in flight.
 //
-// A write that was sent may not have arrived: connections can go silent without an error. The state must
-// still be taken or released within the pin limit, which runs until an attempt is known to have arrived. Only
-// a response of the server to that attempt, its first token or its end, proves that. An answer to a probe
-// proves that the machine is reachable, not that the connection is.
+// A write that was sent may not have arrived: connections can go silent without an error, and a server can
+// answer probes and take no writes. The state must still be taken or released within the pin limit, which
+// runs until an attempt is known to have arrived. Only an answer to that attempt proves that: its first
+// token, an error or a rejection. No answer to a probe does, on whichever connection, nor the end of a
+// connection.
 
 // scheduleWriteCheck schedules checkWrite for the attempt being sent if that is a write of a held state.
 func (r *Router) scheduleWriteCheck(p *request, read bool) {
@@ -78,20 +77,11 @@
 	r.exec.SetTimer(uint64(p.ID), p.releaseAt)
 }
 
-// ConnectionVerified reports that the connection of a write was alive right before its first byte, or that
-// probes of its server use the same connection.
-func (r *Router) ConnectionVerified(now time.Duration, id RequestID, attempt int) {
-	r.now = now
-	if p := r.requests[id]; p != nil && attempt >= 0 && attempt < len(p.attempts) {
-		p.attempts[attempt].verified = true
-	}
-}
-
-// checkHeldState releases a state once the pin limit has passed without a sign that its write has arrived. A
-// write that has arrived keeps the state, because a release frees only what no attempt waits for. A write
-// that arrives later finds no state and is rejected, so that nothing runs twice. If the server has responded
-// to anything since the write was sent, the write is probably in its queue: the state is kept if the write's
-// own connection was alive right before, else for as long as PinSlack allows.
+// checkHeldState releases a state once the pin limit has passed without an answer to its write. A write that
+// has arrived keeps the state, because a release frees only what no attempt waits for. A write that arrives
+// later finds no state and is rejected, so that nothing runs twice. If the server has responded to anything
+// since the write was sent, the write is probably in its queue, and the state is kept for as long as PinSlack
+// allows.
 func (r *Router) checkHeldState(p *request) {
 	if p.releaseAt == 0 || r.now < p.releaseAt {
 		return
@@ -101,11 +91,7 @@
 	if a == nil {
 		return
 	}
-	reachable := a.reachable()
-	if reachable && a.verified {
-		return // the write is queued there
-	}
-	if latest := p.heldAt + r.cfg.PinLimit + r.cfg.PinSlack; reachable && r.now < latest {
+	if latest := p.heldAt + r.cfg.PinLimit + r.cfg.PinSlack; a.reachable() && r.now < latest {
 		p.releaseAt = latest
 		r.exec.SetTimer(uint64(p.ID), latest)
 		return
@@ -114,14 +100,15 @@
 	r.exec.Release(p.ID)
 }
 
-// updateHeldState decides what the end of an attempt means for the held state. The pin limit starts anew only
-// if the end shows that the attempt had arrived; an attempt that never connected, or was cancelled without a
-// sign of life, has not fetched the state. The reachable argument is whether the server has responded to
-// anything since the attempt was sent, not counting this end.
+// updateHeldState decides what the end of an attempt means for the held state. The pin limit starts anew with
+// an answer to the attempt. An attempt that ended without one may not have arrived, and then it has neither
+// fetched the state nor stopped the limit: a state past the limit that was not released is released now, and
+// the prompt is read again. If it was released, and the server has responded to anything since the attempt
+// was sent, the write had probably arrived, and the release has left its state. The reachable argument is
+// whether there was such a response, not counting this end.
 func (r *Router) updateHeldState(p *request, a *attempt, o Outcome, reachable bool) {
 	arrivalUnknown := o.Status == TimedOut || o.Status == Cancelled || o.Status == Reset
-	stateLost := p.released || arrivalUnknown && r.cfg.PinLimit > 0 &&
-		r.now >= p.heldAt+r.cfg.PinLimit
+	pastLimit := arrivalUnknown && r.cfg.PinLimit > 0 && r.now >= p.heldAt+r.cfg.PinLimit
 	switch {
 	case o.Status == Read:
 		r.setHolder(p, a.server)
@@ -130,8 +117,11 @@
 		r.setHolder(p, nil)
 	case o.Status == Errored, o.Status == Rejected && !p.released:
 		r.setHolder(p, p.holder)
-	case !stateLost:
-	case arrivalUnknown && reachable: // the write had probably arrived
+	case !p.released && pastLimit:
+		r.exec.Release(p.ID)
+		r.setHolder(p, nil)
+	case !p.released:
+	case arrivalUnknown && reachable:
 		r.setHolder(p, p.holder)
 	default:
 		r.setHolder(p, nil)
--- a/decide/heldstate_test.go
+++ b/decide/heldstate_test.go
@@ -129,6 +129,49 @@
 	}
 }
 
+// A write that ends between the limit and its slack, without an answer, may not have arrived: its state is released at once,
+// and the prompt is read again.
+func TestStateIsReleasedWhenUnansweredWriteEndsPastLimit(t *testing.T) {
+	for _, status := range []Status{Reset, TimedOut, Cancelled} {
+		r, rec := requestWithHeldState(t, Safe, func(cfg *Settings, _ *Request) { cfg.PinSlack = 200 * ms })
+		busy := rec.lastServer()
+		rec.runTimers(r, 1, 100*ms+writeCheckDelay)
+		r.Probed(r.now, Probed{Server: busy, QueuedRequests: -1, QueuedTokens: -1})
+		if rec.runTimers(r, 1, 420*ms); rec.called("cancel 1 1") || rec.called("release 1") {
+			t.Fatalf("cancelled or released: %v", rec.calls)
+		}
+		r.Outcome(430*ms, Outcome{ID: 1, Attempt: 1, Server: busy, Status: status, Elapsed: 330 * ms})
+		if rec.countCalls("release 1") != 1 {
+			t.Errorf("status %d: not released: %v", status, rec.calls)
+		}
+		rec.runTimers(r, 1, 450*ms) // for the answers of readers that are probed
+		if len(rec.sends) != 3 || rec.lastServer()[0] != 'r' {
+			t.Errorf("status %d: the prompt is not read again: %v", status, rec.calls)
+		}
+	}
+}
+
+// An answer shows that the write had arrived: the pin limit starts anew, and the state goes to another writer.
+func TestAnswerToWriteRestartsPinLimit(t *testing.T) {
+	for _, status := range []Status{Rejected, Errored} {
+		r, rec := requestWithHeldState(t, Safe, func(cfg *Settings, _ *Request) { cfg.PinSlack = 200 * ms })
+		busy := rec.lastServer()
+		rec.runTimers(r, 1, 100*ms+writeCheckDelay)
+		r.Probed(r.now, Probed{Server: busy, QueuedRequests: -1, QueuedTokens: -1})
+		rec.runTimers(r, 1, 420*ms)
+		r.Outcome(430*ms, Outcome{ID: 1, Attempt: 1, Server: busy, Status: status, Elapsed: 330 * ms})
+		if len(rec.sends) != 3 || rec.lastServer()[0] != 'w' {
+			t.Errorf("status %d: no second write: %v", status, rec.calls)
+		}
+		if rec.runTimers(r, 1, 729*ms); rec.called("release 1") {
+			t.Errorf("status %d: the pin limit does not restart: %v", status, rec.calls)
+		}
+		if rec.runTimers(r, 1, 730*ms); rec.countCalls("release 1") != 1 {
+			t.Errorf("status %d: not released at the new limit: %v", status, rec.calls)
+		}
+	}
+}
+
 // With PinSlack, a state is held that much longer if its writer has responded to anything since the write, and only
 // then.
 func TestProbableArrivalExtendsPinLimitBySlack(t *testing.T) {
@@ -147,16 +190,22 @@
 	}
 }
 
-// A verified write keeps its state only if its server has responded some time after the write was sent: the silence may
-// have begun between an earlier response and the write.
-func TestEarlyAnswerDoesNotKeepState(t *testing.T) {
-	for delay, kept := range map[time.Duration]bool{10 * ms: false, writeCheckDelay: true} {
-		r, rec := requestWithHeldState(t, Unsafe, nil)
-		r.ConnectionVerified(101*ms, 1, 1)
-		rec.runTimers(r, 1, 100*ms+delay)
-		r.Probed(r.now, Probed{Server: rec.lastServer(), QueuedRequests: -1, QueuedTokens: -1})
-		if rec.runTimers(r, 1, 401*ms); rec.called("release 1") == kept {
-			t.Errorf("answered %v after the write: %v", delay, rec.calls)
+// No answer to a probe shows that a write has arrived, however often and however late its server answers: the state is
+// released within the limit and the slack, for each effect.
+func TestAnswersToProbesDoNotKeepState(t *testing.T) {
+	const slack = 200 * ms
+	for _, effect := range []Effect{Safe, Keyed, Unsafe} {
+		for _, firstAnswer := range []time.Duration{10 * ms, writeCheckDelay, 290 * ms, 480 * ms} {
+			r, rec := requestWithHeldState(t, effect, func(cfg *Settings, _ *Request) { cfg.PinSlack, cfg.CanCancel = slack, false })
+			writer := rec.lastServer()
+			for at := 100*ms + firstAnswer; at < 100*ms+300*ms+slack; at += 10 * ms {
+				rec.runTimers(r, 1, at)
+				r.Probed(at, Probed{Server: writer, QueuedRequests: 3, QueuedTokens: -1})
+			}
+			rec.runTimers(r, 1, 100*ms+300*ms+slack)
+			if rec.countCalls("release 1") != 1 {
+				t.Errorf("effect %d, answers from %v after the write on: released %d times by the end of the slack, want 1", effect, firstAnswer, rec.countCalls("release 1"))
+			}
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -196,7 +196,6 @@
 	read         bool
 	inFlight     bool
 	streaming    bool          // its answer has begun
-	verified     bool          // its connection was alive right before the first byte
 	firstTokenAt time.Duration // set once streaming
 	match        int           // prompt tokens recorded as cached at its server ...
 	matchSentAt  time.Duration // ... by a send at this time
--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -70,7 +70,6 @@
 	inFlight bool
 
 	guardChecked atomic.Bool // the sending guard was asked
-	verified     atomic.Bool // the connection was alive right before the write
 	mayHaveRun   bool        // a write that may have taken effect, as far as its outcome shows
 }
 
@@ -94,7 +93,7 @@
 	send    commandKind = iota // start an attempt
 	cancel                     // cancel an attempt
 	settle                     // deliver the final answer, which verdict holds
-	release                    // release a state although a write for it is in flight, which may not have arrived
+	release                    // release a state whose write was not answered, although it may be in flight
 )
 
 // The causes with which the contexts of attempts end.
@@ -140,7 +139,7 @@
 			case settle:
 				req.deliverAnswer()
 			case release:
-				req.releaseUnconfirmedWrite()
+				req.releaseUnansweredWrite()
 			}
 		case e := <-req.events:
 			if e.Status == 0 {
@@ -267,10 +266,6 @@
 	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(remaining), Read: req.isReader(w), CancelGrace: req.cancelGrace()}, began: now, inFlight: true}
 	a.MaySend = func() bool { return req.checkSendAllowed(a) }
 	a.Verify = !a.Read && req.stateWaiting && req.settings.CanProbe
-	a.Verified = func() {
-		a.verified.Store(true)
-		c.dispatch(func(now time.Duration, r *decide.Router) { r.ConnectionVerified(now, req.ID, n) })
-	}
 	repeatAllowed := req.checkRepeatAllowed(a.Read)
 	req.attempts = append(req.attempts, a)
 	req.inFlight++
@@ -403,8 +398,8 @@
 		}
 	case e.NoState:
 		req.stateWaiting = false
-	case !a.Read && (a.verified.Load() || e.Status == decide.Errored || e.Status == decide.Rejected):
-		// The write had arrived at the writer: the holding time of the state starts anew.
+	case e.Status == decide.Errored && !a.Read, e.Status == decide.Rejected && !a.Read:
+		// The writer has answered, so the write had arrived: the holding time of the state starts anew.
 		req.heldSince, req.releasedAtLimit = time.Now(), false
 	case a.Read && (e.Status == decide.TimedOut || e.Status == decide.Cancelled || e.Status == decide.Reset ||
 		e.Status == decide.Errored):
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,10 +51,8 @@
 	// since the choice the worker may have begun to drain, or the client may have left.
 	MaySend func() bool
 	// Verify asks the transport to make sure that the connection of a write is alive right before it writes, and not to
-	// write where it is not. It is set only where workers may be probed. The transport calls Verified once the connection
-	// has proved alive, or where probes use the same connection.
-	Verify   bool
-	Verified func()
+	// write where it is not. It is set only where workers may be probed.
+	Verify bool
 	// CancelGrace bounds how long Try may go on after its context has ended, to see the worker end the attempt too.
 	// 0: Try returns at once.
 	CancelGrace time.Duration
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -86,8 +86,8 @@
 	return true
 }
 
-// heldFor returns how long the state has been held since its read, or since the latest write that is known to have
-// arrived; 0 if there was neither.
+// heldFor returns how long the state has been held since its read, or since the latest answer to a write; 0 if there was
+// neither.
 func (req *activeRequest) heldFor() time.Duration {
 	if req.heldSince.IsZero() {
 		return 0
@@ -95,21 +95,11 @@
 	return time.Since(req.heldSince)
 }
 
-// hasVerifiedWrite reports whether the latest attempt is a write in flight on a connection that was alive right before, so
-// that it can be taken to wait at its writer.
-func (req *activeRequest) hasVerifiedWrite() bool {
-	if len(req.attempts) == 0 {
-		return false
-	}
-	last := req.attempts[len(req.attempts)-1]
-	return !last.Read && last.inFlight && last.verified.Load()
-}
-
 // checkHeld is the closing guard for states held at workers: it releases a state that is held past the limit, whether or not
 // the module has a record of it, and counts a violation. States under a lease are left to the transport, which releases them.
 func (req *activeRequest) checkHeld() {
 	limit := req.settings.PinLimit
-	if limit <= 0 || req.Leased || !req.stateWaiting || req.releasedAtLimit || req.heldFor() < limit+pinLimitGrace || req.hasVerifiedWrite() {
+	if limit <= 0 || req.Leased || !req.stateWaiting || req.releasedAtLimit || req.heldFor() < limit+pinLimitGrace {
 		return
 	}
 	req.releasedAtLimit = true
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -25,18 +25,13 @@
 	})
 }
 
-// hangingWrites returns a try function of which reads succeed and writes wait until they are cancelled.
-func hangingWrites(verified bool) func(ctx context.Context, a Attempt) Result {
-	return func(ctx context.Context, a Attempt) Result {
-		if a.MaySend(); a.Read {
-			return Result{Status: decide.Read}
-		}
-		if verified {
-			a.Verified()
-		}
-		<-ctx.Done()
-		return Result{Status: decide.Cancelled}
+// hangingWrites is a try function of which reads succeed and writes wait until they are cancelled.
+func hangingWrites(ctx context.Context, a Attempt) Result {
+	if a.MaySend(); a.Read {
+		return Result{Status: decide.Read}
 	}
+	<-ctx.Done()
+	return Result{Status: decide.Cancelled}
 }
 
 // The repeating guard decides by the outcomes of the earlier attempts, whatever the module has chosen.
@@ -115,7 +110,7 @@
 // state itself.
 func TestClosingGuard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedTransport{try: hangingWrites(false)}
+		s := &scriptedTransport{try: hangingWrites}
 		c := newTestCore(t, s, "w")
 		disableModulePinLimit(t, c)
 		client, leave := context.WithCancel(t.Context())
@@ -131,19 +126,19 @@
 	})
 }
 
-// A write in flight on a connection that was alive right before waits at its worker. The closing guard must count nothing,
-// however long the write takes, and must not spin meanwhile (the test's clock would stand still).
-func TestClosingGuardIgnoresVerifiedWrites(t *testing.T) {
+// The closing guard counts a state once, however long its write takes, and must not spin meanwhile (the test's clock would
+// stand still).
+func TestClosingGuardCountsAStateOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedTransport{try: hangingWrites(true)}
+		s := &scriptedTransport{try: hangingWrites}
 		c := newTestCore(t, s, "w")
 		disableModulePinLimit(t, c)
 		client, leave := context.WithCancel(t.Context())
 		go c.Serve(client, newRequest(unsafeClass, time.Minute), s)
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		if n := violations(c, invariant.Closing); n != 0 {
-			t.Errorf("%d violations, want none", n)
+		if n := violations(c, invariant.Closing); n != 1 {
+			t.Errorf("%d violations, want 1", n)
 		}
 		leave()
 		waitSettled(t, c)
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -53,10 +53,10 @@
 	return req.readOutcomeUnknown && !req.stateWaiting && !req.answered && limit > 0 && time.Since(req.unknownSince) >= limit
 }
 
-// releaseUnconfirmedWrite releases a state whose write is in flight and has not shown that it arrived. Once no attempt is in
-// flight any more, releaseIfDue releases again.
-func (req *activeRequest) releaseUnconfirmedWrite() {
-	if req.mayHoldState && req.inFlight > 0 && !req.answered {
+// releaseUnansweredWrite releases a state whose write has not been answered, whether it is still in flight or not. Once the
+// request is answered, releaseIfDue releases again.
+func (req *activeRequest) releaseUnansweredWrite() {
+	if req.mayHoldState && !req.answered {
 		req.releasedAtLimit = true
 		req.startRelease("limit, no sign of the write", req.reader, false)
 	}
--- a/internal/grpcfront/workers.go
+++ b/internal/grpcfront/workers.go
@@ -180,9 +180,6 @@
 		stop(nil)
 		return core.Result{Status: decide.Unsent, Err: err}
 	}
-	if a.Verify { // probes use the same connection, so an answered probe shows that it is alive
-		a.Verified()
-	}
 	// Computed here and not earlier, because the connection may have taken up to the connect timeout to be established.
 	msg := &pb.WorkRequest{Request: x.req, Wait: durationpb.New(max(minWait, a.Remaining()))}
 	if err := call.SendMsg(msg); err != nil {
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -124,12 +124,6 @@
 	}
 }
 
-// answeredWithin reports whether an answer has ended on the connection within the given time before now.
-func (c *workerConn) answeredWithin(span time.Duration) bool {
-	answerEnded := time.Duration(c.answerEnded.Load())
-	return answerEnded > 0 && time.Since(epoch)-answerEnded <= span
-}
-
 // hasUnreadInput reports whether a connection has input that has not been read.
 func hasUnreadInput(c net.Conn) bool {
 	n, err := peek(c)
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -34,7 +34,6 @@
 	maxAnswerBytes     = 64 << 10               // bytes read of an answer that is not a stream
 	maxResends         = 3                      // further connections tried when the one at hand turned out to be closed
 	verifyTimeout      = 150 * time.Millisecond // for a worker to reply on a connection that a write is to use
-	verificationTTL    = 50 * time.Millisecond  // a reply verifies its connection for this long
 	pathHolds          = "/v1/holds/"
 	pathStats          = "/stats"
 	headerTurnedAway   = "X-Turned-Away"
@@ -208,9 +207,6 @@
 			idle.Store(int64(i.IdleTime))
 			if c, ok := i.Conn.(*workerConn); ok {
 				lastWasCall := c.lastWasCall.Swap(false)
-				if a.Verify && c.answeredWithin(verificationTTL) {
-					a.Verified()
-				}
 				watch.conn.Store(c)
 				c.setWatch(watch)
 				c.mayWrite.Store(&a.MaySend)
