Releases go on until a state can't be held any more: reads of unknown outcome, and calls nobody took

Cause: what this process had asked for stood for what had happened. - A read's connection broke as the read was done, and the next read went out: at the limit the next reader was probed, and if it answered, nothing was released, ever, though the read need not have arrived there. - A read was given up and its reader, stalled or going on with what it had begun, left its state after the second and last release. - A release that none of eight workers took was given up; half of them may hang at once. Change: a read of unknown outcome is released in rounds (lateread.go), at the interval of the pin limit, until its reader has answered for longer than a read takes, or its process has ended, or it has been silent for 10 s past the read's deadline. No round goes out while the state of a later read waits for its write. At the limit a further attempt stops nothing any more. A known state is released in rounds until a worker has taken it, for 10 s; the number of workers that are asked together grows, so that seven are within 0.12 s. The log has each call: the worker, how long it took and what came back, and with each release what the request had come to. An exchange keeps no body for that. TestUnknownReadIsReleasedAfterTheEnd and TestNoAttemptStartsAfterTheClientLeaves run on a virtual clock now, as the releases go on for seconds; their checks are the same.

--- a/cmd/rowanyard/incident_test.go
+++ b/cmd/rowanyard/incident_test.go
@@ -201,3 +201,23 @@
 	states.checkHoldTimes(t, requests)
 	all.Wait()
 }
+
+// A read's connection breaks as the read is done, and the next read does not arrive at a reader that answers probes. The state
+// that the first one left must be released within the limit.
+func TestStateOfBrokenReadIsReleasedInTimeWhenNextReadIsNotTaken(t *testing.T) {
+	states := newHeldStates()
+	_, p := startRouter(t, standin.Options{Readers: 3, Writers: 2, ReadDuration: 30 * time.Millisecond, OnEvent: states.record,
+		FaultFor: func(stage, _ string, n int) standin.Fault {
+			switch {
+			case stage == "write":
+				return standin.None
+			case n == 0:
+				return standin.ResetBeforeFirstToken
+			}
+			return standin.Hang
+		}}, "")
+	const requests = 8
+	all := startRequests(t, p, "a", requests)
+	states.checkHoldTimes(t, requests)
+	all.Wait()
+}
--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -42,24 +42,24 @@
 	// The fields below are used by run's goroutine only, except for the atomic ones and for verdict, retryAfter and reason,
 	// which Core.mu guards: the module may settle the request from a timer while its first token arrives, and only one of
 	// the two gives the final answer.
-	verdict            Verdict // Pending until the final answer is fixed
-	retryAfter         time.Duration
-	answered           bool // the final answer was delivered
-	attempts           []*attempt
-	inFlight           int          // attempts without a result
-	streaming          bool         // the answer's stream has not ended
-	streamAttempt      int          // number of the attempt that streams
-	clientLeft         bool         // the client left while the answer streamed
-	mayHoldState       bool         // a worker may hold a state for the request
-	readOutcomeUnknown bool         // a read ended and it is not known whether it left a state
-	stateWaiting       bool         // a successful read left a state that no write has fetched
-	reader             Worker       // where that state is, or may be
-	successfulReads    atomic.Int32 // reads that left a state
-	unknownSince       time.Time    // end of the latest read whose outcome is unknown
-	heldSince          time.Time    // start of the current holding time of the waiting state
-	releasedAtLimit    bool         // the waiting state was released since heldSince, at the pin limit
-	answerFixed        atomic.Bool  // answered, for the goroutines of attempts: nothing more may be sent
-	reason             string       // the module's latest reason for a choice
+	verdict         Verdict // Pending until the final answer is fixed
+	retryAfter      time.Duration
+	answered        bool // the final answer was delivered
+	attempts        []*attempt
+	inFlight        int          // attempts without a result
+	streaming       bool         // the answer's stream has not ended
+	streamAttempt   int          // number of the attempt that streams
+	clientLeft      bool         // the client left while the answer streamed
+	mayHoldState    bool         // a successful read left a state that a worker may still hold
+	stateWaiting    bool         // ... and that no write has fetched
+	stateWanted     atomic.Bool  // ... and that a write is to fetch
+	unknownReads    []*lateRead  // reads of unknown outcome; the release of what they may leave has not begun
+	reader          Worker       // where that state is, or may be
+	successfulReads atomic.Int32 // reads that left a state
+	heldSince       time.Time    // start of the current holding time of the waiting state
+	releasedAtLimit bool         // the waiting state was released since heldSince, at the pin limit
+	answerFixed     atomic.Bool  // answered, for the goroutines of attempts: nothing more may be sent
+	reason          string       // the module's latest reason for a choice
 }
 
 // attempt is an attempt with the core's record of it.
@@ -161,14 +161,23 @@
 		}
 		req.releaseIfDue()
 		req.checkHeld()
-		switch limit := req.settings.PinLimit; {
-		case limit <= 0:
-		case req.stateWaiting && !req.releasedAtLimit:
-			heldTimer.Reset(max(heldCheckMinInterval, limit+pinLimitGrace-req.heldFor()))
-		case req.readOutcomeUnknown && !req.stateWaiting:
-			heldTimer.Reset(max(heldCheckMinInterval, limit-time.Since(req.unknownSince)))
-		}
+		heldTimer.Reset(req.untilHeldCheck())
+	}
+}
+
+// untilHeldCheck returns the time until a state may have passed its limit.
+func (req *activeRequest) untilHeldCheck() time.Duration {
+	limit, wait := req.settings.PinLimit, farFuture
+	if limit <= 0 {
+		return wait
+	}
+	if req.stateWaiting && !req.releasedAtLimit && !req.Leased {
+		wait = limit + pinLimitGrace - req.heldFor()
+	}
+	if len(req.unknownReads) > 0 {
+		wait = min(wait, limit-time.Since(req.unknownReads[0].endedAt))
 	}
+	return max(heldCheckMinInterval, wait)
 }
 
 // handleClientGone settles the request once its client has left, or closes the stream that nobody reads any more.
@@ -184,7 +193,7 @@
 
 // done reports whether nothing is left to do for the request.
 func (req *activeRequest) done() bool {
-	return req.answered && req.inFlight == 0 && !req.streaming && !req.mayHoldState && len(req.commands) == 0
+	return req.answered && req.inFlight == 0 && !req.streaming && !req.mayHoldState && len(req.unknownReads) == 0 && len(req.commands) == 0
 }
 
 // recoverPanic removes the request when run returns. If run panicked it first cancels the attempts and answers the client
@@ -229,6 +238,7 @@
 	req.core.mu.Unlock()
 	req.answered = true
 	req.answerFixed.Store(true)
+	req.stateWanted.Store(false)
 	req.answer <- a
 	req.log(a.Verdict, "")
 	req.cancelAttempts()
@@ -353,7 +363,8 @@
 	}
 	req.answered, req.streaming, req.streamAttempt = true, true, e.attemptNumber
 	req.answerFixed.Store(true)
-	req.mayHoldState, req.readOutcomeUnknown, req.stateWaiting = false, false, false // the first token frees the state
+	req.mayHoldState, req.stateWaiting = false, false // the first token frees the state
+	req.stateWanted.Store(false)
 	req.inFlight--
 	a.inFlight = false
 	var once sync.Once
@@ -392,20 +403,21 @@
 	case e.Status == decide.Read:
 		req.mayHoldState, req.stateWaiting, req.reader = true, true, a.To
 		req.heldSince, req.releasedAtLimit = time.Now(), false
+		req.stateWanted.Store(!req.answered)
 		req.successfulReads.Add(1)
 		if predicted, ok := req.CachedTokens[a.To.ID]; ok && req.core.CacheReports != nil {
 			req.core.CacheReports.RecordPrediction(a.To.ID, predicted, e.CachedTokens)
 		}
 	case e.NoState:
 		req.stateWaiting = false
+		req.stateWanted.Store(false)
 	case e.Status == decide.Errored && !a.Read, e.Status == decide.Rejected && !a.Read:
 		// The writer has answered, so the write had arrived: the holding time of the state starts anew.
 		req.heldSince, req.releasedAtLimit = time.Now(), false
 	case a.Read && (e.Status == decide.TimedOut || e.Status == decide.Cancelled || e.Status == decide.Reset ||
 		e.Status == decide.Errored):
 		// The read may have succeeded just as its connection closed, and have left a state at the reader.
-		req.mayHoldState, req.readOutcomeUnknown, req.reader = true, true, a.To
-		req.unknownSince = time.Now()
+		req.unknownReads = append(req.unknownReads, newLateRead(req, a))
 	}
 	level := slog.LevelInfo
 	if e.Status == decide.Read {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -121,26 +121,28 @@
 // another worker if the reader does not take the release.
 func TestUnknownReadIsReleasedAfterTheEnd(t *testing.T) {
 	for name, end := range map[string]decide.Status{"cancelled": decide.Cancelled, "reset": decide.Reset} {
-		s := &scriptedTransport{refuse: map[string]bool{"r": true}}
-		inside := make(chan struct{}, 4)
-		s.try = func(ctx context.Context, a Attempt) Result {
-			inside <- struct{}{}
-			if end == decide.Cancelled {
-				<-ctx.Done()
+		synctest.Test(t, func(t *testing.T) {
+			s := &scriptedTransport{refuse: map[string]bool{"r": true}}
+			inside := make(chan struct{}, 4)
+			s.try = func(ctx context.Context, a Attempt) Result {
+				inside <- struct{}{}
+				if end == decide.Cancelled {
+					<-ctx.Done()
+				}
+				return Result{Status: end}
 			}
-			return Result{Status: end}
-		}
-		c := newTestCore(t, s, "w")
-		client, leave := context.WithCancel(context.Background())
-		go func() { <-inside; leave() }()
-		if a := c.Serve(client, newRequest(unsafeClass, 200*time.Millisecond), s); a.Verdict == Streaming || a.Verdict == Failed {
-			t.Errorf("%s: got verdict %d", name, a.Verdict)
-		}
-		leave()
-		waitSettled(t, c)
-		if n := len(s.released); n < 2 || s.released[0] != "r" || s.released[1] != "w" {
-			t.Errorf("%s: released at %v, want r, then w", name, s.released)
-		}
+			c := newTestCore(t, s, "w")
+			client, leave := context.WithCancel(context.Background())
+			go func() { <-inside; leave() }()
+			if a := c.Serve(client, newRequest(unsafeClass, 200*time.Millisecond), s); a.Verdict == Streaming || a.Verdict == Failed {
+				t.Errorf("%s: got verdict %d", name, a.Verdict)
+			}
+			leave()
+			waitSettled(t, c)
+			if n := len(s.released); n < 2 || s.released[0] != "r" || s.released[1] != "w" {
+				t.Errorf("%s: released at %v, want r, then w", name, s.released)
+			}
+		})
 	}
 }
 
@@ -307,7 +309,7 @@
 		c.SetWorkers(false, all)
 		c.recordContact("far7", recentContact)
 		c.running.Begin()
-		c.release(&activeRequest{core: c, transport: s}, Worker{Server: decide.Server{ID: "r"}}, false, func() bool { return true })
+		c.release(&activeRequest{core: c, transport: s}, Worker{Server: decide.Server{ID: "r"}}, func() bool { return true })
 		if !slices.Equal(s.released, []string{want}) {
 			t.Errorf("released at %v, want %s", s.released, want)
 		}
@@ -367,49 +369,51 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for range 50 { // select picks at random between the module's command and the client's departure
-				client, leave := context.WithCancel(context.Background())
-				tried := make(chan struct{}, 100)
-				s := &scriptedTransport{}
-				log := slog.DiscardHandler
-				if x.leaveAfterLast {
-					log = &nthMessageHook{Handler: slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelDebug}), message: "attempt", n: x.tries, do: leave}
-				}
-				c, err := New(long, 1, s, slog.New(log))
-				if err != nil {
-					t.Fatal(err)
-				}
-				s.try = func(ctx context.Context, a Attempt) Result {
-					if a.Number == x.tries-1 {
-						c.SetWorkers(true, x.laterWorkers)
-						if x.leaveDuringLast {
-							leave()
+				synctest.Test(t, func(t *testing.T) {
+					client, leave := context.WithCancel(context.Background())
+					tried := make(chan struct{}, 100)
+					s := &scriptedTransport{}
+					log := slog.DiscardHandler
+					if x.leaveAfterLast {
+						log = &nthMessageHook{Handler: slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelDebug}), message: "attempt", n: x.tries, do: leave}
+					}
+					c, err := New(long, 1, s, slog.New(log))
+					if err != nil {
+						t.Fatal(err)
+					}
+					s.try = func(ctx context.Context, a Attempt) Result {
+						if a.Number == x.tries-1 {
+							c.SetWorkers(true, x.laterWorkers)
+							if x.leaveDuringLast {
+								leave()
+							}
 						}
+						tried <- struct{}{}
+						return x.try(ctx, a)
 					}
-					tried <- struct{}{}
-					return x.try(ctx, a)
-				}
-				c.SetWorkers(true, x.initialWorkers)
-				done := make(chan Answer, 1)
-				go func() { done <- c.Serve(client, newRequest(safeClass, time.Hour), s) }()
-				if !x.leaveAfterLast && !x.leaveDuringLast {
-					for range x.tries {
-						<-tried
+					c.SetWorkers(true, x.initialWorkers)
+					done := make(chan Answer, 1)
+					go func() { done <- c.Serve(client, newRequest(safeClass, time.Hour), s) }()
+					if !x.leaveAfterLast && !x.leaveDuringLast {
+						for range x.tries {
+							<-tried
+						}
+						leave()
 					}
-					leave()
-				}
-				if a := <-done; a.Verdict != ClientGone {
-					t.Fatalf("got verdict %d, want ClientGone", a.Verdict)
-				}
-				c.SetWorkers(true, all)
-				waitSettled(t, c)
-				s.mu.Lock()
-				if len(s.tries) != x.tries {
-					t.Fatalf("%d attempts, %d before the client left", len(s.tries), x.tries)
-				}
-				if x.tries > 0 && len(s.released) == 0 {
-					t.Fatal("the held state was not released")
-				}
-				s.mu.Unlock()
+					if a := <-done; a.Verdict != ClientGone {
+						t.Fatalf("got verdict %d, want ClientGone", a.Verdict)
+					}
+					c.SetWorkers(true, all)
+					waitSettled(t, c)
+					s.mu.Lock()
+					if len(s.tries) != x.tries {
+						t.Fatalf("%d attempts, %d before the client left", len(s.tries), x.tries)
+					}
+					if x.tries > 0 && len(s.released) == 0 {
+						t.Fatal("the held state was not released")
+					}
+					s.mu.Unlock()
+				})
 			}
 		})
 	}
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -104,5 +104,5 @@
 	}
 	req.releasedAtLimit = true
 	req.core.Guard.Violated(invariant.Closing, "state held", "id", req.ID, "txn", req.Label, "held_ms", req.heldFor().Milliseconds())
-	req.startRelease("guard", req.reader, false)
+	req.startRelease("guard", req.reader)
 }
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -1,7 +1,7 @@
 package core
 
-// This file releases the state that workers hold for a request that is over, or that a read of unknown outcome may have
-// left behind.
+// This file releases the state that workers hold for a request: one that is known, as its write has not been answered in time
+// or the request is over. States that a read of unknown outcome may leave are in lateread.go.
 
 import (
 	"cmp"
@@ -15,42 +15,27 @@
 
 // Limits of releases.
 const (
-	releaseHedgeDelay   = 40 * time.Millisecond  // a call unanswered for this long is sent to another worker too
+	releaseHedgeDelay   = 40 * time.Millisecond  // after each such time without a success, one more further worker is asked
 	releaseTimeout      = 250 * time.Millisecond // of one call
-	maxReleaseCalls     = 8                      // of one release, each to another worker
-	reachProbeTimeout   = 100 * time.Millisecond // a worker that does not answer a probe within this is out of reach
-	secondReleaseDelay  = 100 * time.Millisecond // between the two releases after a read of unknown outcome
+	maxReleaseCalls     = 8                      // of one round, each to another worker
+	releaseRetryDelay   = 100 * time.Millisecond // after a round that no worker took, before the next
+	maxReleaseTime      = 10 * time.Second       // for a worker to take a release
 	recentContactWindow = 10 * time.Second       // workers that answered within this are asked before others
 )
 
-// releaseIfDue releases the state that may be held for the request once no attempt is in flight: always if the request is
-// answered, and before that if a read of unknown outcome may have left a state that the module does not know of. At the pin
-// limit the latter is released although a further attempt is in flight, since that attempt need not have arrived. It is
-// not released earlier, since a release that is delayed on its way would hit the state that the next read leaves.
+// releaseIfDue releases the state that may be held for the request: a known one once the request is answered, and one that a read
+// of unknown outcome may have left once no attempt is in flight. At the pin limit the latter is released although a further
+// attempt is in flight, since that attempt need not have arrived. It is not released earlier, since a release that is
+// delayed on its way would hit the state that the next read leaves.
 func (req *activeRequest) releaseIfDue() {
-	requestDone := req.answered && len(req.commands) == 0
-	unknownReadLeft := req.readOutcomeUnknown && !req.stateWaiting && len(req.commands) == 0
-	if req.unknownReadPastLimit() && req.inFlight > 0 {
-		req.readOutcomeUnknown = false // mayHoldState stays: what is left at the end is released then
-		req.releaseIfUnreachable(req.attempts[len(req.attempts)-1].To)
-		return
+	idle := req.inFlight == 0 && len(req.commands) == 0
+	if idle || req.unknownReadPastLimit() {
+		req.startLateReadReleases()
 	}
-	if !req.mayHoldState || req.inFlight > 0 || !requestDone && !unknownReadLeft {
-		return
+	if req.mayHoldState && idle && req.answered {
+		req.startRelease("answered", req.reader)
+		req.mayHoldState, req.stateWaiting = false, false
 	}
-	why := "answered"
-	if unknownReadLeft {
-		why = "read of unknown fate"
-	}
-	req.startRelease(why, req.reader, req.readOutcomeUnknown)
-	req.mayHoldState, req.readOutcomeUnknown, req.stateWaiting = false, false, false
-}
-
-// unknownReadPastLimit reports whether the pin limit has passed since a read of unknown outcome ended, and no later read
-// has succeeded.
-func (req *activeRequest) unknownReadPastLimit() bool {
-	limit := req.settings.PinLimit
-	return req.readOutcomeUnknown && !req.stateWaiting && !req.answered && limit > 0 && time.Since(req.unknownSince) >= limit
 }
 
 // releaseUnansweredWrite releases a state whose write has not been answered, whether it is still in flight or not. Once the
@@ -58,39 +43,28 @@
 func (req *activeRequest) releaseUnansweredWrite() {
 	if req.mayHoldState && !req.answered {
 		req.releasedAtLimit = true
-		req.startRelease("limit, no sign of the write", req.reader, false)
+		req.stateWanted.Store(false)
+		req.startRelease("limit, no sign of the write", req.reader)
 	}
 }
 
-// releaseIfUnreachable releases what a read of unknown outcome may have left, unless next, the worker that the request was
-// sent to after that, answers a probe: then the attempt there is probably under way, and a release could hit the state that
-// it is about to leave.
-func (req *activeRequest) releaseIfUnreachable(next Worker) {
-	if !req.settings.CanProbe {
-		req.startRelease("read of unknown fate", Worker{}, false)
-		return
-	}
+// startRelease releases the state held for the request in the background, and stops as soon as a further read has left a
+// state, which is wanted. preferred is asked first: the worker that has the state.
+func (req *activeRequest) startRelease(why string, preferred Worker) {
 	successfulReads := req.successfulReads.Load()
+	req.logRelease(why, preferred)
 	req.core.running.Begin()
-	go func() {
-		defer req.core.running.End()
-		ctx, stop := context.WithTimeout(context.Background(), reachProbeTimeout)
-		defer stop()
-		if _, err := req.core.prober.Probe(ctx, next); err != nil && req.successfulReads.Load() == successfulReads {
-			req.startRelease("read of unknown fate, no sign of the next", Worker{}, false)
-		}
-	}()
+	go req.core.release(req, preferred, func() bool { return req.successfulReads.Load() == successfulReads })
 }
 
-// startRelease releases the state held for the request in the background, and stops as soon as a further read has left a
-// state, which is wanted. preferred is asked first: the worker that has the state. It is empty where that worker may be
-// slow to act, since a late release would hit the state that the next read leaves. repeat has the release done a second
-// time after secondReleaseDelay.
-func (req *activeRequest) startRelease(why string, preferred Worker, repeat bool) {
-	successfulReads := req.successfulReads.Load()
-	req.core.log.Info("release", "id", req.ID, "txn", req.Label, "why", why, "first", preferred.ID)
-	req.core.running.Begin()
-	go req.core.release(req, preferred, repeat, func() bool { return req.successfulReads.Load() == successfulReads })
+// logRelease logs that a release begins, and what the request has come to.
+func (req *activeRequest) logRelease(why string, preferred Worker) {
+	fields := []any{"id", req.ID, "txn", req.Label, "why", why, "first", preferred.ID, "held_ms", req.heldFor().Milliseconds(), "attempts", len(req.attempts)}
+	if len(req.attempts) > 0 {
+		last := req.attempts[len(req.attempts)-1]
+		fields = append(fields, "last", last.To.ID, "read", last.Read, "in_flight", last.inFlight, "began_ms", time.Since(last.began).Milliseconds())
+	}
+	req.core.log.Info("release", fields...)
 }
 
 // recordContact notes whether a worker answered the latest call to it.
@@ -104,43 +78,58 @@
 	}
 }
 
-// release has workers release all state held for a request, see releaseAtAny. repeat does it a second time after
-// secondReleaseDelay: after a read of unknown outcome, the state may appear just after the first release. stillNeeded
-// returns false once a further read has left a state, which must stay.
-func (c *Core) release(req *activeRequest, preferred Worker, repeat bool, stillNeeded func() bool) {
+// contactSince reports whether the latest call to a worker was answered, and that after the given time.
+func (c *Core) contactSince(workerID string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastContact[workerID].After(since)
+}
+
+// release has workers release all state held for a request, in rounds until one of them has taken it. stillNeeded returns false
+// once a further read has left a state, which must stay.
+func (c *Core) release(req *activeRequest, preferred Worker, stillNeeded func() bool) {
 	defer c.running.End()
-	ok := c.releaseOnce(req, preferred, stillNeeded)
-	if repeat {
-		time.Sleep(secondReleaseDelay)
-		if stillNeeded() {
-			ok = c.releaseOnce(req, preferred, stillNeeded) || ok
-		}
-	}
-	if !ok && stillNeeded() {
+	taken := c.releaseInRounds(stillNeeded, func() bool { return c.releaseOnce(req, preferred, stillNeeded) })
+	if !taken && stillNeeded() {
 		c.log.Error("nothing took the release", "id", req.ID, "txn", req.Label)
 	}
 }
 
+// releaseInRounds calls round until it succeeds, with pauses, for at most maxReleaseTime, and reports whether it did.
+func (c *Core) releaseInRounds(stillNeeded, round func() bool) bool {
+	for began := time.Now(); stillNeeded() && time.Since(began) < maxReleaseTime; time.Sleep(releaseRetryDelay) {
+		if round() {
+			return true
+		}
+	}
+	return false
+}
+
 // ReleaseAnywhere releases the state held for a request that is over. It runs call, which sends the release to one worker
 // and is given timeout, for one worker after the other until one succeeds, and reports whether one did.
 func (c *Core) ReleaseAnywhere(timeout time.Duration, call func(ctx context.Context, at Worker) error) bool {
-	return c.releaseAtAny(Worker{}, func() bool { return true }, timeout, call)
+	always := func() bool { return true }
+	return c.releaseInRounds(always, func() bool { return c.releaseAtAny(Worker{}, always, timeout, call) })
 }
 
 // releaseOnce has the request's transport send the release to one worker after the other until one succeeds, and reports
 // whether one did.
 func (c *Core) releaseOnce(req *activeRequest, preferred Worker, stillNeeded func() bool) bool {
 	return c.releaseAtAny(preferred, stillNeeded, releaseTimeout, func(ctx context.Context, w Worker) error {
+		began := time.Now()
 		err := req.transport.Release(ctx, w)
+		fields := []any{"id", req.ID, "txn", req.Label, "worker", w.ID, "took_ms", time.Since(began).Milliseconds()}
 		if err != nil {
-			c.log.Warn("release failed", "id", req.ID, "txn", req.Label, "worker", w.ID, "err", err)
+			c.log.Warn("release failed", append(fields, "err", err)...)
+		} else {
+			c.log.Info("release taken", fields...)
 		}
 		return err
 	})
 }
 
 // releaseAtAny runs release for one worker after the other until one succeeds, and reports whether one did. A worker may be
-// dead, silent or cut off, so the next is asked after releaseHedgeDelay while the calls before may still succeed.
+// dead, silent or cut off, and so may half of them, so ever more are asked while the calls before may still succeed.
 func (c *Core) releaseAtAny(preferred Worker, stillNeeded func() bool, timeout time.Duration, release func(context.Context, Worker) error) bool {
 	candidates := c.releaseCandidates(preferred)
 	candidates = candidates[:min(len(candidates), maxReleaseCalls)]
@@ -154,17 +143,24 @@
 	}
 	hedge := time.NewTicker(releaseHedgeDelay)
 	defer hedge.Stop()
-	for asked, pending := 0, 0; asked < len(candidates) && stillNeeded() || pending > 0; {
-		if asked < len(candidates) && stillNeeded() {
+	asked, pending := 0, 0
+	ask := func(workers int) {
+		for ; workers > 0 && asked < len(candidates) && stillNeeded(); workers-- {
 			go call(candidates[asked])
 			asked, pending = asked+1, pending+1
 		}
+	}
+	hedges := 0
+	for ask(1); pending > 0; {
 		select {
 		case err := <-done:
 			if pending--; err == nil {
 				return true
 			}
+			ask(1)
 		case <-hedge.C:
+			hedges++
+			ask(hedges)
 		}
 	}
 	return false
--- a/internal/grpcfront/bridge.go
+++ b/internal/grpcfront/bridge.go
@@ -216,6 +216,11 @@
 // eventEncoder is an exchange whose chunk streams are encoded as events.
 type eventEncoder struct{ *exchange }
 
+// WithoutBody implements httpfront.BodyDropper.
+func (e eventEncoder) WithoutBody() core.Transport {
+	return eventEncoder{&exchange{workers: e.workers, req: &pb.CompleteRequest{Id: e.req.Id}}}
+}
+
 func (e eventEncoder) Try(ctx context.Context, a core.Attempt) core.Result {
 	res := e.exchange.Try(ctx, a)
 	if c, ok := res.Stream.(chunkStream); ok {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -266,7 +266,7 @@
 	exchange       *Exchange
 	q              decide.Request
 	client         *http.ResponseController
-	freeBody       func() // called when the answer begins
+	freeBody       func() // called once there is an answer
 	responseHeader http.Header
 }
 
@@ -279,6 +279,7 @@
 		return nil, errors.New("request was not read by the handler")
 	}
 	a := t.front.core.Serve(out.Context(), parsed.q, parsed.exchange)
+	parsed.freeBody()
 	conn, _ := out.Context().Value(connKey{}).(*clientConn)
 	if conn != nil { // again: since the request was read, more may have arrived and the shutdown may have begun
 		conn.announceClose(parsed.responseHeader, out)
@@ -288,7 +289,6 @@
 	switch a.Verdict {
 	case core.Streaming:
 		s := a.Stream.(Stream)
-		parsed.freeBody()
 		res.StatusCode, res.ContentLength = http.StatusOK, -1
 		for _, name := range []string{"Content-Type", "Cache-Control"} { // framing and load reports are not for the client
 			if v := s.Header().Get(name); v != "" {
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -105,11 +105,24 @@
 	bridged    []wireTransport
 }
 
-// DropBody releases the body. It is called once an answer has begun, after which nothing more is sent for the request.
+// DropBody releases the body. It is called once there is an answer, after which nothing but releases is sent for the request.
 func (x *Exchange) DropBody() {
 	x.mu.Lock()
-	x.Body, x.bridged = nil, nil
-	x.mu.Unlock()
+	defer x.mu.Unlock()
+	x.Body = nil
+	var bodyless []wireTransport
+	for _, o := range x.bridged {
+		if b, ok := o.Transport.(BodyDropper); ok {
+			bodyless = append(bodyless, wireTransport{o.wire, b.WithoutBody()})
+		}
+	}
+	x.bridged = bodyless
+}
+
+// BodyDropper is implemented by transports of a Bridge that can release the state of their request without its body.
+type BodyDropper interface {
+	// WithoutBody returns a transport that releases the state of the same request and makes no attempts.
+	WithoutBody() core.Transport
 }
 
 // wireTransport sends the request to workers that speak the wire protocol named wire.
@@ -157,14 +170,14 @@
 	if allowed := a.MaySend; x.ClientGone != nil {
 		a.MaySend = func() bool { return !x.ClientGone() && allowed() }
 	}
+	if payload == nil {
+		return core.Result{Status: decide.Unsent}
+	}
 	for _, o := range bridged {
 		if o.wire == a.To.Wire {
 			return o.Try(ctx, a)
 		}
 	}
-	if payload == nil {
-		return core.Result{Status: decide.Unsent}
-	}
 	if a.Verify {
 		if err := x.Workers.verify(ctx, a); err != nil {
 			return core.Result{Status: failureStatus(ctx, err, false), Err: fmt.Errorf("not written: %w", err)}
@@ -344,7 +357,10 @@
 
 // Release implements core.Transport.
 func (x *Exchange) Release(ctx context.Context, at core.Worker) error {
-	for _, o := range x.bridged {
+	x.mu.Lock()
+	bridged := x.bridged
+	x.mu.Unlock()
+	for _, o := range bridged {
 		if o.wire == at.Wire {
 			return o.Release(ctx, at)
 		}
