A state past its limit is released while the attempts of an answered request end

What callers could see: a client left 0.45 s or more after the read while its write was out and unanswered. The attempt of a message may take 0.15 s to end, and the state was released only after that: over the limit of 0.6 s. Cause: the module forgets a request that is answered, and the core waited for the ends of its attempts. Change: at the pin limit the core releases the state of an answered request whatever is out; a release leaves what an arrived write waits for. Measured: TestStateIsReleasedInTimeWheneverTheClientLeaves (virtual clock) failed before from 450 ms after the read on (601 ms and more), passes for all times now.

--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -172,7 +172,10 @@
 		return wait
 	}
 	if req.stateWaiting && !req.releasedAtLimit && !req.Leased {
-		wait = limit + pinLimitGrace - req.heldFor()
+		wait = limit - req.heldFor()
+		if !req.answered { // the module releases it at the limit; the guard checks that
+			wait += pinLimitGrace
+		}
 	}
 	if len(req.unknownReads) > 0 {
 		wait = min(wait, limit-time.Since(req.unknownReads[0].endedAt))
--- a/internal/core/lateread_test.go
+++ b/internal/core/lateread_test.go
@@ -223,3 +223,28 @@
 		}
 	})
 }
+
+// A client leaves while a write is out that was not answered, at any time after the read. The attempt takes its time to end; the
+// state must be released in time all the same.
+func TestStateIsReleasedInTimeWheneverTheClientLeaves(t *testing.T) {
+	for leaves := 10 * time.Millisecond; leaves < settings.PinLimit+pinLimitGrace; leaves += 10 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			s := &stateWorkers{}
+			client, leave := context.WithCancel(t.Context())
+			s.try = func(ctx context.Context, a Attempt) Result {
+				if a.Read {
+					s.hold(a.To.ID)
+					time.AfterFunc(leaves, leave)
+					return Result{Status: decide.Read}
+				}
+				<-ctx.Done()
+				time.Sleep(a.CancelGrace)
+				return Result{Status: decide.Cancelled}
+			}
+			c := newStateCore(t, s)
+			c.Serve(client, newRequest(unsafeClass, 5*time.Second), s)
+			waitSettled(t, c)
+			s.check(t, leaves.String())
+		})
+	}
+}
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -23,8 +23,8 @@
 	recentContactWindow = 10 * time.Second       // workers that answered within this are asked before others
 )
 
-// releaseIfDue releases the state that may be held for the request: a known one once the request is answered, and one that a read
-// of unknown outcome may have left once no attempt is in flight. At the pin limit the latter is released although a further
+// releaseIfDue releases the state that may be held for the request: a known one once the request is answered and its attempts have
+// ended, or at the pin limit while they end, and one that a read of unknown outcome may have left once no attempt is in flight. At the pin limit the latter is released although a further
 // attempt is in flight, since that attempt need not have arrived. It is not released earlier, since a release that is
 // delayed on its way would hit the state that the next read leaves.
 func (req *activeRequest) releaseIfDue() {
@@ -32,12 +32,25 @@
 	if idle || req.unknownReadPastLimit() {
 		req.startLateReadReleases()
 	}
-	if req.mayHoldState && idle && req.answered {
+	if !req.mayHoldState || !req.answered {
+		return
+	}
+	switch {
+	case idle:
 		req.startRelease("answered", req.reader)
 		req.mayHoldState, req.stateWaiting = false, false
+	case req.statePastLimit():
+		req.releasedAtLimit = true
+		req.startRelease("answered, past the limit", req.reader)
 	}
 }
 
+// statePastLimit reports whether a known state has passed the pin limit and was not released.
+func (req *activeRequest) statePastLimit() bool {
+	limit := req.settings.PinLimit
+	return limit > 0 && req.stateWaiting && !req.releasedAtLimit && !req.Leased && req.heldFor() >= limit
+}
+
 // releaseUnansweredWrite releases a state whose write has not been answered, whether it is still in flight or not. Once the
 // request is answered, releaseIfDue releases again.
 func (req *activeRequest) releaseUnansweredWrite() {
