--- a/cmd/rowanyard/main_test.go
+++ b/cmd/rowanyard/main_test.go
@@ -307,8 +307,8 @@
 	t.Cleanup(next.Close)
 	t.Setenv("ROUTER_DISCOVERY", old.DiscoveryAddress)
 	p := startProgram(t, old.Config("127.0.0.1:0"), "")
-	p.http = "http://" + p.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
 	p.waitLog(t, `msg="worker list" .*entries=(2)`)
+	p.http = "http://" + p.waitLog(t, `msg=serving .*front=http listen=(\S+)`)
 	reload := func(config []byte, want string) {
 		t.Helper()
 		os.WriteFile(p.configFile, config, 0o600)
@@ -642,7 +642,7 @@
 // descriptor limits.
 func TestAThousandWorkersAndRouters(t *testing.T) {
 	const memory, sockets = 96, 512
-	fleet, err := standin.Start(standin.Options{Readers: 2, Writers: 2, ListedWorkers: 1024})
+	fleet, err := standin.Start(standin.Options{Readers: 2, Writers: 2, ListedWorkers: 1024, WholeLists: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -783,7 +783,7 @@
 	defer stop()
 	begun.Wait()
 	p.waitLog(t, `msg="(full house)"`)
-	fleet.SetHealth("reader-2", "draining")
+	fleet.SetHealth("reader-1", "draining")
 	g.open.Store(true)
 	p.waitLog(t, `msg="worker list" .*seq=(2)`)
 	if code := p.callOperator(t, http.MethodGet, "/status"); code != 200 {
--- a/internal/scale/registry/registry.go
+++ b/internal/scale/registry/registry.go
@@ -1,6 +1,7 @@
-// Package registry is a discovery service for scale tests. It serves the list of workers and its changes to any
-// number of watchers, in the platform's protocol, and counts the bytes sent to them. Changes can be published one at
-// a time or many at once.
+// Package registry is a discovery service for tests. It serves the list of workers and its changes to any number of
+// watchers, in the platform's protocol, and counts the bytes sent to them. Changes can be published one at a time or
+// many at once. Each of its addresses stands for the agent on a router's machine, and can fall silent, be slow, or be given
+// up for another one.
 package registry
 
 import (
@@ -25,6 +26,9 @@
 
 // Registry is a running discovery service.
 type Registry struct {
+	// WholeLists has watches carry the whole list after each change, in place of the changed entries. Set it before use.
+	WholeLists bool
+
 	mu        sync.Mutex
 	hosts     map[string]httpfront.Entry
 	seq       int64
@@ -51,9 +55,11 @@
 
 // Endpoint is an address of a Registry that counts its own bytes.
 type Endpoint struct {
-	Address string
-	in, out atomic.Int64
-	server  *http.Server
+	Address  string
+	in, out  atomic.Int64
+	listener net.Listener
+	server   *http.Server
+	agent    agent
 }
 
 // Bytes returns the bytes received and sent so far, above TCP.
@@ -65,8 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Endpoint{Address: l.Addr().String()}
-	d.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	d := &Endpoint{Address: l.Addr().String(), listener: l}
+	d.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(&d.agent, w, q) })}
 	r.mu.Lock()
 	r.endpoints = append(r.endpoints, d)
 	r.mu.Unlock()
@@ -142,7 +148,7 @@
 	if seq == r.seq {
 		return l, more
 	}
-	covered := seq > 0 && seq < r.seq && len(r.history) > 0 && r.history[0].seq <= seq+1
+	covered := !r.WholeLists && seq > 0 && seq < r.seq && len(r.history) > 0 && r.history[0].seq <= seq+1
 	if !covered {
 		l.Whole, l.Hosts = true, r.list()
 		return l, more
@@ -156,11 +162,16 @@
 }
 
 // serve handles one request for the list or a watch.
-func (r *Registry) serve(w http.ResponseWriter, q *http.Request) {
+func (r *Registry) serve(a *agent, w http.ResponseWriter, q *http.Request) {
 	if q.URL.Path != watchPath || q.Method != http.MethodGet {
 		http.NotFound(w, q)
 		return
 	}
+	a.countCall(1, 1)
+	defer a.countCall(0, -1)
+	if !a.awaitAnswer(q.Context()) {
+		return
+	}
 	if q.URL.Query().Get("watch") == "" {
 		l, _ := r.updatesSince(0)
 		_ = json.NewEncoder(w).Encode(l)
@@ -171,15 +182,21 @@
 		http.Error(w, fmt.Sprintf("after: %v", err), http.StatusBadRequest)
 		return
 	}
-	r.watch(w, q, seq)
+	r.watch(a, w, q, seq)
 }
 
 // watch sends all changes after seq to one watcher until it disconnects or the Registry is closed.
-func (r *Registry) watch(w http.ResponseWriter, q *http.Request, seq int64) {
+func (r *Registry) watch(a *agent, w http.ResponseWriter, q *http.Request, seq int64) {
 	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
 	keepalive := time.NewTicker(keepaliveInterval)
 	defer keepalive.Stop()
 	for {
+		if !a.awaitLine(q.Context()) {
+			return
+		}
 		l, changed := r.updatesSince(seq)
 		if len(l.Hosts) > 0 || l.Whole {
 			if json.NewEncoder(w).Encode(l) != nil || control.Flush() != nil {
@@ -190,6 +207,9 @@
 		select {
 		case <-changed:
 		case <-keepalive.C:
+			if !a.awaitLine(q.Context()) {
+				return
+			}
 			if _, err := w.Write([]byte("\n")); err != nil || control.Flush() != nil {
 				return
 			}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,8 @@
 
 	"rowanyard/internal/grpcfront"
 	"rowanyard/internal/grpcfront/pb"
+	"rowanyard/internal/httpfront"
+	"rowanyard/internal/scale/registry"
 )
 
 // Fault is a fault to inject into one call.
@@ -55,6 +57,8 @@
 	// ListedAddress returns the address under which discovery lists a worker, such as that of a proxy in front of it. If it
 	// is nil, workers are listed under their own addresses.
 	ListedAddress func(host, address string) string
+	// WholeLists has discovery send the whole list after each change, in place of the changed entries.
+	WholeLists bool
 	// OnlyKind restricts the workers to one kind, "reader" or "writer". If it is empty, both are started.
 	OnlyKind string
 	// StateStore keeps the states, for workers in several processes. If it is nil, the Fleet keeps them in memory.
@@ -79,36 +83,25 @@
 type Fleet struct {
 	Options
 	DiscoveryAddress string // the address of the discovery service
+	registry         *registry.Registry
 	mu               sync.Mutex
 	hosts            []Host
-	listVersion      int
-	watchers         map[chan struct{}]bool
 	held             map[string]bool // by request id
 	callsByMessage   map[string]int  // by stage and message
 	callsByWorker    map[string]int
 	effectsByMessage map[string]int // writes that have taken effect, by class and message
 	writesByRequest  map[string]int // writes that have taken effect, by request id
 	closers          []func()
-	stop             chan struct{}
 }
 
 // Host is a worker's entry in the list of the discovery service.
-type Host struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  int     `json:"block"`
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-	BornMs int64   `json:"born_ms"`
-}
+type Host = httpfront.Entry
 
 // Start starts a Fleet. Counts below 1 are taken as 1.
 func Start(o Options) (*Fleet, error) {
 	o.Readers, o.Writers, o.Tokens = max(1, o.Readers), max(1, o.Writers), max(1, o.Tokens)
-	f := &Fleet{Options: o, watchers: make(map[chan struct{}]bool), held: make(map[string]bool),
-		callsByMessage: make(map[string]int), callsByWorker: make(map[string]int), effectsByMessage: make(map[string]int), writesByRequest: make(map[string]int), stop: make(chan struct{}), listVersion: 1}
+	f := &Fleet{Options: o, held: make(map[string]bool),
+		callsByMessage: make(map[string]int), callsByWorker: make(map[string]int), effectsByMessage: make(map[string]int), writesByRequest: make(map[string]int)}
 	if f.StateStore == nil {
 		f.StateStore = memoryStates{f}
 	}
@@ -146,20 +139,22 @@
 		h.Host, h.Block = fmt.Sprintf("%s-%d", h.Class, i), i/5
 		f.hosts = append(f.hosts, h)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.registry = registry.New(f.hosts)
+	f.registry.WholeLists = o.WholeLists
+	f.closers = append(f.closers, f.registry.Close)
+	endpoint, err := f.AddDiscovery()
 	if err != nil {
 		return nil, err
 	}
-	f.DiscoveryAddress = l.Addr().String()
-	s := &http.Server{Handler: http.HandlerFunc(f.serveDiscovery)}
-	go s.Serve(l)
-	f.closers = append(f.closers, func() { s.Close() })
+	f.DiscoveryAddress = endpoint.Address
 	return f, nil
 }
 
+// AddDiscovery starts another agent of the discovery service, with an address and faults of its own.
+func (f *Fleet) AddDiscovery() (*registry.Endpoint, error) { return f.registry.AddEndpoint() }
+
 // Close stops the workers and the discovery service.
 func (f *Fleet) Close() {
-	close(f.stop)
 	for _, c := range f.closers {
 		c()
 	}
@@ -183,9 +178,10 @@
 func (f *Fleet) Config(listen string) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	const oldVersion = 0 // discovery sends the list to a router that has just started
 	text, _ := json.MarshalIndent(map[string]any{"name": "toy", "listen": listen, "discovery": f.DiscoveryAddress,
 		"seed": "1", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known": map[string]any{"seq": f.listVersion, "whole": true, "hosts": f.hosts}, "settings": Settings()}, "", "  ")
+		"known": map[string]any{"seq": oldVersion, "whole": true, "hosts": f.hosts}, "settings": Settings()}, "", "  ")
 	return text
 }
 
@@ -203,13 +199,7 @@
 	for i := range f.hosts {
 		if f.hosts[i].Host == host {
 			f.hosts[i].Health = health
-		}
-	}
-	f.listVersion++
-	for w := range f.watchers {
-		select {
-		case w <- struct{}{}:
-		default:
+			f.registry.Update(f.hosts[i])
 		}
 	}
 }
@@ -246,32 +236,6 @@
 	return len(f.held)
 }
 
-// serveDiscovery serves the list of workers and, with the query parameter watch, a new one after each change.
-func (f *Fleet) serveDiscovery(w http.ResponseWriter, r *http.Request) {
-	changed := make(chan struct{}, 1)
-	f.mu.Lock()
-	f.watchers[changed] = true
-	f.mu.Unlock()
-	defer func() { f.mu.Lock(); delete(f.watchers, changed); f.mu.Unlock() }()
-	for {
-		f.mu.Lock()
-		line, _ := json.Marshal(map[string]any{"seq": f.listVersion, "whole": true, "hosts": f.hosts})
-		f.mu.Unlock()
-		w.Write(append(line, '\n'))
-		http.NewResponseController(w).Flush()
-		if r.URL.Query().Get("watch") == "" {
-			return
-		}
-		select {
-		case <-changed:
-		case <-f.stop:
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // call is an attempt that a worker has received over HTTP or gRPC.
 type call struct {
 	id, class, message string
