Silent discovery that returns slow, or resets what has waited for it, is heard within the grace

What callers could see: new work to a draining worker up to 2.3 s after the agent had the drain. Change: every second call that is made in a silence waits twice as long, every fourth four times as long, up to 6 s (callPace.patience); it replaces the rule of the oldest. A reset of a call beside which others had to be made is no overload. Calls that were given up do not count as refusals.

--- a/internal/httpfront/discoverycall.go
+++ b/internal/httpfront/discoverycall.go
@@ -22,9 +22,8 @@
 
 // Reasons for which a call is ended by this process.
 var (
-	errSilent         = errors.New("discovery is silent")
-	errOtherAnswered  = errors.New("another call was answered")
-	errTooManyWaiting = errors.New("too many calls wait for an answer")
+	errSilent        = errors.New("discovery is silent")
+	errOtherAnswered = errors.New("another call was answered")
 )
 
 // discoveryCall is a call of a follower that is open. Discovery.mu guards its times.
@@ -36,10 +35,12 @@
 	stop     context.CancelCauseFunc
 
 	began     time.Time
-	lastHeard time.Time // when a line last arrived, or when the call began
-	suspectAt time.Time // a further call is made unless there is a sign of life before
-	watching  bool      // the head of the watch has arrived
-	answered  bool      // a line has arrived
+	lastHeard time.Time     // when a line last arrived, or when the call began
+	suspectAt time.Time     // a further call is made unless there is a sign of life before
+	patience  time.Duration // after lastHeard it is given up, once a further call is made
+	watching  bool          // the head of the watch has arrived
+	answered  bool          // a line has arrived
+	silent    bool          // a further call was made beside it since it began, or since a line last arrived
 }
 
 // run makes the call and applies what arrives until it ends.
--- a/internal/httpfront/discoverypace.go
+++ b/internal/httpfront/discoverypace.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -23,9 +24,11 @@
 	changeDeadline           = 6 * time.Second
 	moveDeadline             = 4 * time.Second
 	answerAllowance          = 1500 * time.Millisecond
-	maxAnswerWait            = 250 * time.Millisecond  // for a pushed list, before a further call
-	minRetryPause            = 50 * time.Millisecond   // after a call for a pushed list; maxAnswerWait at most
-	minServedTime            = time.Second             // of a call that discovery had room for
+	maxAnswerWait            = 250 * time.Millisecond // for a pushed list, before a further call
+	minRetryPause            = 50 * time.Millisecond  // after a call for a pushed list; maxAnswerWait at most
+	minServedTime            = time.Second            // of a call that discovery had room for
+	minPatience              = 400 * time.Millisecond // for an answer to a call that is made beside others
+	maxPatienceDoublings     = 4
 	minBackoff               = 200 * time.Millisecond  // a requested list that failed is requested again after up to this, doubled ...
 	maxBackoff               = 2 * time.Second         // ... for each failure since the last call that lasted, up to this
 	overloadBackoffPerRouter = 150 * time.Millisecond  // under overload all routers together make one call in this time, doubled likewise
@@ -46,8 +49,8 @@
 }
 
 // answerWait returns how long a call may go without a sign of life before a further call is made beside it, with jitter.
-// failures is the number of calls that have failed since one lasted.
-func (p callPace) answerWait(version int64, failures int) time.Duration {
+// unheard is the number of calls since discovery was last heard.
+func (p callPace) answerWait(version int64, unheard int) time.Duration {
 	if p.pushed {
 		return maxAnswerWait - rand.N(maxAnswerWait/5)
 	}
@@ -55,7 +58,23 @@
 	if version == unknownVersion {
 		timeout = listTimeout
 	}
-	return min(timeout+randomBackoff(failures), deadlineFor(version)-answerAllowance)
+	return min(timeout+randomBackoff(unheard), deadlineFor(version)-answerAllowance)
+}
+
+// patience returns how long the nth call since discovery was last heard, counted from 0, may wait for an answer if further calls
+// are made beside it. Every second call waits twice as long as the others, every fourth four times as long, and so on up to
+// changeDeadline: however late discovery answers, a call that waits for long enough has begun shortly before, and few
+// are open at once.
+func (p callPace) patience(n int) time.Duration {
+	if n == 0 {
+		return firstLineTimeout
+	}
+	shortest := minPatience
+	if !p.pushed {
+		shortest = firstLineTimeout
+	}
+	doublings := min(bits.TrailingZeros(uint(n)), maxPatienceDoublings)
+	return min(shortest<<doublings, changeDeadline)
 }
 
 // lineWait is answerWait for a call that has been answered: for the next line of its watch.
@@ -68,7 +87,7 @@
 
 // pauseAfter returns how long to wait after call failed with err.
 func (p callPace) pauseAfter(call callEnd, err error) time.Duration {
-	if p.pushed && (!isOverload(err) || call.lasted()) {
+	if p.pushed && (!isOverload(err) || call.hadRoom(err)) {
 		return max(p.answerWait(call.version, call.failures)-call.age, minRetryPause+rand.N(maxAnswerWait-minRetryPause))
 	}
 	interval := max(minBackoff, overloadBackoffPerRouter*time.Duration(p.routerCount)) // all routers share discovery
@@ -82,10 +101,14 @@
 	age      time.Duration
 	silence  time.Duration // since discovery's last line, or since the call began
 	answered bool
+	silent   bool // discoveryCall.silent
 }
 
-// lasted reports whether the call was served for a while: whatever ended it, discovery had room for it.
-func (c callEnd) lasted() bool { return c.answered && c.age >= minServedTime }
+// hadRoom reports whether err does not mean that discovery has no room for the call: it was served for a while or, as a machine
+// that returns resets what has waited for it, it was reset after a silence.
+func (c callEnd) hadRoom(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) && (c.silent || c.answered && c.age >= minServedTime)
+}
 
 // deadlineFor returns how soon a change must be applied if the core has the given version of the list.
 func deadlineFor(version int64) time.Duration {
--- a/internal/httpfront/follower.go
+++ b/internal/httpfront/follower.go
@@ -1,8 +1,8 @@
 package httpfront
 
 // A follower keeps the core's worker list up to date from one address of discovery. While discovery is silent, it makes
-// further calls beside those that wait: a call that has waited through an outage may never be answered, and a slow one may be
-// answered later. The first call that is answered stays open, and the others end.
+// further calls beside those that wait: a call that has waited through an outage may never be answered. Some of them wait
+// longer than others, for discovery that is slow. The first call that is answered stays open, and the others end.
 
 import (
 	"context"
@@ -12,12 +12,6 @@
 	"time"
 )
 
-const (
-	maxOpenCalls = 3                // the oldest, which may wait for long, and the latest
-	minPatience  = firstLineTimeout // for an answer to the oldest call, doubled each time that there is none ...
-	maxPatience  = changeDeadline   // ... up to this
-)
-
 // follower makes the calls to one address. Discovery.mu guards its fields below wake.
 type follower struct {
 	discovery *Discovery
@@ -30,13 +24,13 @@
 	version   int64            // of the list that the core has; unknownVersion: the full list is requested
 	calls     []*discoveryCall // open, the oldest first
 	callCount int
-	failures  int           // calls that have failed since one lasted for changeDeadline
-	patience  time.Duration // for an answer to the oldest call
-	notBefore time.Time     // of the next call
+	unheard   int       // calls that have begun since discovery was last heard
+	failures  int       // calls that have failed since one lasted for changeDeadline
+	notBefore time.Time // of the next call
 }
 
 func newFollower(d *Discovery, addr string, version int64) *follower {
-	f := &follower{discovery: d, addr: addr, version: version, patience: minPatience, wake: make(chan struct{}, 1),
+	f := &follower{discovery: d, addr: addr, version: version, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dial}}}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	return f
@@ -112,22 +106,24 @@
 	return "no answer"
 }
 
-// giveUpCalls makes room for a further call.
+// giveUpCalls ends the calls that have waited for long enough.
 func (f *follower) giveUpCalls(now time.Time) {
-	if len(f.calls) > 0 && now.Sub(f.calls[0].lastHeard) >= f.patience {
-		f.endCall(f.calls[0], errSilent)
-		f.failures++
-		f.patience = min(2*f.patience, maxPatience)
-	}
-	if len(f.calls) >= maxOpenCalls {
-		f.endCall(f.calls[1], errTooManyWaiting)
+	for _, c := range slices.Clone(f.calls) {
+		if now.Sub(c.lastHeard) >= c.patience {
+			f.endCall(c, errSilent)
+		}
 	}
 }
 
 func (f *follower) startCall(now time.Time, reason string) {
+	pace := f.pace()
 	f.callCount++
 	c := &discoveryCall{follower: f, number: f.callCount, after: f.version, began: now, lastHeard: now,
-		suspectAt: now.Add(f.pace().answerWait(f.version, f.failures))}
+		suspectAt: now.Add(pace.answerWait(f.version, f.unheard)), patience: pace.patience(f.unheard), silent: len(f.calls) > 0}
+	f.unheard++
+	for _, other := range f.calls {
+		other.silent = true
+	}
 	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	f.calls = append(f.calls, c)
 	f.discovery.Log.Info("discovery call", "addr", f.addr, "n", c.number, "seq", c.after, "why", reason, "open", len(f.calls))
@@ -150,7 +146,8 @@
 	now := time.Now()
 	fields := []any{"addr", f.addr, "n", c.number, "took_ms", now.Sub(c.began).Milliseconds(), "seq", c.after}
 	endedHere := !f.isOpen(c)
-	if endedHere && !errors.Is(err, errSilent) || f.ctx.Err() != nil {
+	brief := !c.answered && c.patience < firstLineTimeout
+	if endedHere && (brief || !errors.Is(err, errSilent)) || f.ctx.Err() != nil {
 		f.endCall(c, nil)
 		d.Log.Info("discovery call ended", append(fields, "why", err)...)
 		return
@@ -165,7 +162,7 @@
 
 // pauseAfter returns how long to wait after a call that failed with err, and counts the failure.
 func (f *follower) pauseAfter(c *discoveryCall, now time.Time, err error) time.Duration {
-	end := callEnd{version: f.version, failures: f.failures, age: now.Sub(c.began), silence: now.Sub(c.lastHeard), answered: c.answered}
+	end := callEnd{version: f.version, failures: f.failures, age: now.Sub(c.began), silence: now.Sub(c.lastHeard), answered: c.answered, silent: c.silent}
 	if end.age > changeDeadline { // the watch lasted for a while
 		end.failures = 0
 	}
@@ -193,7 +190,7 @@
 func (f *follower) partReceived(c *discoveryCall) {
 	f.discovery.mu.Lock()
 	defer f.discovery.mu.Unlock()
-	c.suspectAt = time.Now().Add(f.pace().answerWait(f.version, f.failures))
+	c.suspectAt = time.Now().Add(f.pace().answerWait(f.version, f.unheard))
 }
 
 // waitFor returns how long a call may stay without a further sign of life.
@@ -201,7 +198,7 @@
 	if c.watching {
 		return f.pace().lineWait()
 	}
-	return f.pace().answerWait(f.version, f.failures)
+	return f.pace().answerWait(f.version, f.unheard)
 }
 
 // listUnchanged notes that discovery has confirmed the list.
@@ -236,9 +233,10 @@
 			f.endCall(other, errOtherAnswered)
 		}
 	}
-	c.answered, c.lastHeard = true, time.Now()
+	c.answered, c.silent, c.lastHeard = true, false, time.Now()
 	c.suspectAt = c.lastHeard.Add(f.waitFor(c))
-	f.patience = minPatience
+	c.patience = f.pace().lineWait() + maxAnswerWait
+	f.unheard = 0
 }
 
 // apply passes a list that a call has received to the core, unless the call was ended before: a late list must not undo
