The soak moves, silences and slows agents of discovery, and stops or deafens workers together

Its discovery fell silent behind a proxy for one router at a time and never came back with a drain, nothing moved a router to another agent, and workers stopped one by one; a worker that answers probes and takes nothing did not exist. What an agent has counts as told at once, 4 s after SIGHUP, and at the end of its silence. A violation of a drain shows its router's log of discovery. SIGHUP goes to no process in its first second.

--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -34,6 +34,7 @@
 	disconnectGrace     = 100 * time.Millisecond
 	deadlineSlack       = 150 * time.Millisecond
 	discoveryDelayLimit = 6 * time.Second // a router must have received a change after this, whatever state discovery is in
+	moveTime            = 4 * time.Second // after SIGHUP, what the new agent has counts as told
 	shutdownGrace       = 700 * time.Millisecond
 	clockSlack          = 100 * time.Millisecond // between two records of one event on a busy machine
 	killedRouterCleanup = 5 * time.Second        // the platform frees what a killed router left within this time
@@ -77,13 +78,15 @@
 	requests         []*clientRequest
 	healthChanges    []healthChange
 	discoveryOutages []discoveryOutage
+	agentSilences    []agentSilence
+	workerPauses     []workerPause
 	routers          []*router
 	eventsByID       map[string][]event
 }
 
 func (d *deployment) checkInvariants() Report {
 	rec := &records{events: d.ledger.snapshot(), requests: d.requestLog.finished, healthChanges: d.healthChanges,
-		discoveryOutages: d.discoveryOutages, routers: d.routers,
+		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, routers: d.routers,
 		eventsByID: make(map[string][]event)}
 	for _, e := range rec.events {
 		rec.eventsByID[e.id] = append(rec.eventsByID[e.id], e)
@@ -109,11 +112,42 @@
 		report.Violations = append(report.Violations, rule(rec)...)
 	}
 	for i := range report.Violations {
-		report.Violations[i].Evidence = rec.evidence(report.Violations[i].RequestID)
+		v := &report.Violations[i]
+		v.Evidence = rec.evidence(v.RequestID)
+		if v.Rule == RuleDrainRespected {
+			v.Evidence = append(v.Evidence, rec.discoveryLog(v.RequestID)...)
+		}
 	}
 	return report
 }
 
+// discoveryLogSpan is how long before a request the log of its router's discovery is shown.
+const discoveryLogSpan = 8 * time.Second
+
+// discoveryLog returns what a request's router logged of discovery before and during the request.
+func (rec *records) discoveryLog(id string) (lines []string) {
+	for _, s := range rec.requests {
+		if s.id != id {
+			continue
+		}
+		for _, text := range []string{"discovery call", "watch ended", "worker list", "new configuration"} {
+			for _, line := range rec.routers[s.router].lines(`msg="` + text) {
+				if line.at.After(s.at.Add(-discoveryLogSpan)) && line.at.Before(s.ended) {
+					lines = append(lines, fmt.Sprintf("%s logged: %s", line.at.UTC().Format(time.RFC3339Nano), line.text))
+				}
+			}
+		}
+		for _, silence := range rec.agentSilences {
+			if silence.router == s.router {
+				lines = append(lines, fmt.Sprintf("%s to %s silent, SIGHUP at %s, then answers %v late", silence.from.UTC().Format(time.RFC3339Nano),
+					silence.to.UTC().Format(time.RFC3339Nano), silence.movedAt.UTC().Format(time.RFC3339Nano), silence.delay))
+			}
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 // evidence returns what workers, the client and the routers' logs recorded about a request, in order of time.
 func (rec *records) evidence(id string) (lines []string) {
 	if id == "" {
@@ -295,26 +329,42 @@
 
 // checkDrains finds attempts at workers that were draining according to the list that the router had received.
 func checkDrains(rec *records) (found []Violation) {
-	router := make(map[string]int)
+	requests := make(map[string]*clientRequest)
 	for _, s := range rec.requests {
-		router[s.id] = s.router
+		requests[s.id] = s
 	}
 	for _, e := range rec.events {
-		if e.kind != attemptArrived {
-			continue
-		}
-		number, known := router[e.id]
-		if !known {
+		s := requests[e.id]
+		if e.kind != attemptArrived || s == nil {
 			continue
 		}
-		if knownSince, ok := rec.drainKnownSince(e.host, number, e.at); ok && e.at.Sub(knownSince) > drainGrace+clockSlack {
+		at := rec.sentBeforePause(s, e)
+		if knownSince, ok := rec.drainKnownSince(e.host, s.router, at); ok && at.Sub(knownSince) > drainGrace+clockSlack {
 			found = append(found, Violation{Rule: RuleDrainRespected,
-				Message: fmt.Sprintf("%s at %s, %v after the router learned that it drains", e.id, e.host, e.at.Sub(knownSince)), RequestID: e.id})
+				Message: fmt.Sprintf("%s at %s, %v after the router learned that it drains", e.id, e.host, at.Sub(knownSince)), RequestID: e.id})
 		}
 	}
 	return found
 }
 
+// sentBeforePause returns when an attempt arrived at its worker's machine: when the worker took it or, if the worker paused
+// in between, when its router sent it.
+func (rec *records) sentBeforePause(s *clientRequest, arrived event) time.Time {
+	var sent time.Time
+	for _, at := range rec.sendTimes(s, arrived.host) {
+		if at.Before(arrived.at) {
+			sent = later(sent, at)
+		}
+	}
+	for _, p := range rec.workerPauses {
+		paused := p.host == arrived.host && p.from.Before(arrived.at) && p.to.After(sent)
+		if paused && !sent.IsZero() {
+			return sent
+		}
+	}
+	return arrived.at
+}
+
 // drainKnownSince returns since when a router has known that a worker drains. It reports false if the worker was not draining
 // at the given time, or if the router's process may not have known.
 func (rec *records) drainKnownSince(host string, router int, at time.Time) (time.Time, bool) {
@@ -335,6 +385,11 @@
 			knownSince = earlier(drainingSince.Add(discoveryDelayLimit), s.to.Add(discoveryDelayLimit))
 		}
 	}
+	for _, s := range rec.agentSilences {
+		if s.router == router {
+			knownSince = later(knownSince, s.toldAfter(drainingSince))
+		}
+	}
 	for _, e := range rec.routers[router].exits { // a new process starts with the list current at its start
 		if !e.killedAt.IsZero() && knownSince.Before(e.killedAt) && e.killedAt.Before(at) {
 			return drainingSince, false
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -58,6 +58,14 @@
 	mu               sync.Mutex // guards the workers' processes and entries, and what follows
 	healthChanges    []healthChange
 	discoveryOutages []discoveryOutage
+	agentSilences    []agentSilence
+	workerPauses     []workerPause
+}
+
+// workerPause is a period in which a worker took nothing of what had reached its machine.
+type workerPause struct {
+	host     string
+	from, to time.Time
 }
 
 // discoveryOutage is a period in which a router received nothing from discovery.
@@ -126,13 +134,11 @@
 	if r.dir, err = os.MkdirTemp(d.dir, r.name); err != nil {
 		return err
 	}
-	endpoint, err := d.registry.AddEndpoint()
+	agent, err := d.startAgent()
 	if err != nil {
 		return err
 	}
-	if r.discovery, err = faultproxy.Start(endpoint.Address); err != nil {
-		return err
-	}
+	r.addAgent(agent)
 	d.routers = append(d.routers, r)
 	return nil
 }
@@ -228,6 +234,12 @@
 	switch f.Kind {
 	case DiscoverySilent, DiscoveryResets, RouterTerminated, RouterKilled, RouterReloads, ClockStepped, IdleConnections:
 		d.injectIntoRouter(f, d.routers[f.Target])
+	case AgentSilent, AgentMoved, AgentMovedTwice:
+		d.injectIntoAgent(f, d.routers[f.Target])
+	case WorkersStopped:
+		d.signalGroup(f, syscall.SIGSTOP, syscall.SIGCONT)
+	case WorkersDeaf:
+		d.signalGroup(f, signalDeaf, signalHearing)
 	default:
 		d.injectIntoWorker(f, d.workers[f.Target])
 	}
@@ -236,15 +248,15 @@
 func (d *deployment) injectIntoRouter(f Fault, r *router) {
 	switch f.Kind {
 	case DiscoverySilent:
-		from := time.Now()
-		r.discovery.Set(faultproxy.Silent)
+		from, agent := time.Now(), r.agent()
+		agent.proxy.Set(faultproxy.Silent)
 		time.Sleep(f.Duration)
-		r.discovery.Set(faultproxy.None)
+		agent.proxy.Set(faultproxy.None)
 		d.mu.Lock()
 		d.discoveryOutages = append(d.discoveryOutages, discoveryOutage{r.number, from, time.Now()})
 		d.mu.Unlock()
 	case DiscoveryResets:
-		r.discovery.Reset()
+		r.agent().proxy.Reset()
 		d.mu.Lock()
 		// The outage lasts until the router reconnects.
 		d.discoveryOutages = append(d.discoveryOutages, discoveryOutage{r.number, time.Now(), time.Now().Add(discoveryDelayLimit)})
@@ -287,9 +299,11 @@
 	case WorkerResets:
 		w.proxy.Reset()
 	case WorkerStopped:
+		from := time.Now()
 		d.signalWorker(w, syscall.SIGSTOP)
 		time.Sleep(f.Duration)
 		d.signalWorker(w, syscall.SIGCONT)
+		d.recordPause(w, from)
 	case WorkerKilled:
 		d.signalWorker(w, syscall.SIGKILL)
 		time.Sleep(f.Duration)
@@ -303,6 +317,26 @@
 	}
 }
 
+// signalGroup sends one signal to many workers, and another one after the fault's duration.
+func (d *deployment) signalGroup(f Fault, begin, end os.Signal) {
+	from, group := time.Now(), d.plan.group(f)
+	for _, i := range group {
+		d.signalWorker(d.workers[i], begin)
+	}
+	time.Sleep(f.Duration)
+	for _, i := range group {
+		d.signalWorker(d.workers[i], end)
+		d.recordPause(d.workers[i], from)
+	}
+}
+
+// recordPause records that a worker took nothing from the given time until now.
+func (d *deployment) recordPause(w *worker, from time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.workerPauses = append(d.workerPauses, workerPause{w.host, from, time.Now()})
+}
+
 func (d *deployment) signalWorker(w *worker, s os.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -314,14 +348,24 @@
 
 // changeEntry changes a worker's entry and publishes it through discovery.
 func (d *deployment) changeEntry(w *worker, change func()) {
+	d.changeEntries([]*worker{w}, func(*worker) { change() })
+}
+
+// changeEntries changes the entries of workers and publishes them through discovery as one version.
+func (d *deployment) changeEntries(workers []*worker, change func(*worker)) {
+	var entries []httpfront.Entry
 	d.mu.Lock()
-	change()
-	entry := w.entry()
+	for _, w := range workers {
+		change(w)
+		entries = append(entries, w.entry())
+	}
 	d.mu.Unlock()
-	d.registry.Update(entry)
+	d.registry.Update(entries...)
 	d.mu.Lock()
-	d.healthChanges = append(d.healthChanges, healthChange{time.Now(), w.host, entry.Health})
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	for _, entry := range entries {
+		d.healthChanges = append(d.healthChanges, healthChange{time.Now(), entry.Host, entry.Health})
+	}
 }
 
 // close ends everything that the run has started.
@@ -330,7 +374,7 @@
 		if r.command != nil {
 			r.kill()
 		}
-		r.discovery.Close()
+		r.closeAgents()
 	}
 	for _, w := range d.workers {
 		if w.command != nil {
--- a/internal/scale/soak/router.go
+++ b/internal/scale/soak/router.go
@@ -17,7 +17,6 @@
 
 	"rowanyard/internal/httpfront"
 	"rowanyard/internal/scale/clockstep"
-	"rowanyard/internal/scale/faultproxy"
 	"rowanyard/internal/scale/procstat"
 	"rowanyard/internal/standin"
 )
@@ -31,6 +30,7 @@
 	admitAfterTerm       = 300 * time.Millisecond  // clients still open connections for this long after SIGTERM
 	readyPollInterval    = 10 * time.Millisecond
 	reloadInterval       = 20 * time.Millisecond
+	minReloadAge         = time.Second // of a process that gets SIGHUP
 	routerBasePort       = 10_000
 )
 
@@ -41,11 +41,12 @@
 	address     string
 	dir         string
 	program     string
-	discovery   *faultproxy.Proxy
 	listWorkers func() httpfront.List
 
 	mu           sync.Mutex
+	agents       []*discoveryAgent // the last one is the one that the configuration names
 	command      *exec.Cmd
+	startedAt    time.Time // of the current process
 	log          []logLine
 	processes    int
 	admitting    bool            // whether clients may open connections
@@ -115,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := json.Marshal(map[string]any{"name": r.name, "listen": r.address, "discovery": r.discovery.Address(),
+	text, err := json.Marshal(map[string]any{"name": r.name, "listen": r.address, "discovery": r.agent().proxy.Address(),
 		"seed": fmt.Sprintf("%x", r.number+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": routerMemoryMB,
 			"sockets": routerMaxDescriptors}, "known": r.listWorkers(), "settings": settings})
@@ -141,7 +142,7 @@
 	}
 	startedAt := time.Now()
 	r.mu.Lock()
-	r.command = command
+	r.command, r.startedAt = command, startedAt
 	r.processes++
 	incarnation := r.processes
 	r.mu.Unlock()
@@ -219,8 +220,21 @@
 	_ = p.Kill()
 }
 
+// awaitReloadable waits until the process may get SIGHUP, for at most readyTimeout.
+func (r *router) awaitReloadable() {
+	for began := time.Now(); time.Since(began) < readyTimeout; time.Sleep(readyPollInterval) {
+		r.mu.Lock()
+		reloadable := r.admitting && time.Since(r.startedAt) >= minReloadAge
+		r.mu.Unlock()
+		if reloadable {
+			return
+		}
+	}
+}
+
 // reload sends a series of SIGHUP.
 func (r *router) reload(times int) {
+	r.awaitReloadable()
 	for range times {
 		r.signal(syscall.SIGHUP)
 		time.Sleep(reloadInterval)
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -26,7 +26,12 @@
 	WorkerStopped     FaultKind = "worker stopped"     // SIGSTOP, then SIGCONT
 	WorkerKilled      FaultKind = "worker killed"      // SIGKILL, then a new process
 	WorkerDrains      FaultKind = "worker drains"      // listed as draining, then as up again
+	WorkersStopped    FaultKind = "workers stopped"    // many at once: SIGSTOP, then SIGCONT
+	WorkersDeaf       FaultKind = "workers deaf"       // many at once answer probes and releases, and take no attempts
 	DiscoverySilent   FaultKind = "discovery silent"   // to one router: its connections stay open and carry nothing
+	AgentSilent       FaultKind = "agent silent"       // of one router: sends nothing, and returns with drains
+	AgentMoved        FaultKind = "agent moved"        // SIGHUP names another agent, which is silent, then slow, and returns with drains
+	AgentMovedTwice   FaultKind = "agent moved twice"  // the same with a second SIGHUP, to a third agent, in the silence
 	DiscoveryResets   FaultKind = "discovery resets"   // to one router: its connections are reset
 	RouterTerminated  FaultKind = "router terminated"  // SIGTERM, SIGKILL at the earliest time allowed, and a new process
 	RouterKilled      FaultKind = "router killed"      // SIGKILL, and a new process
@@ -40,13 +45,14 @@
 	Kind     FaultKind
 	At       time.Duration
 	Duration time.Duration
-	Target   int // number of the worker or router
-	Amount   int // by kind: bytes that still pass, milliseconds of delay, seconds of a clock step, number of signals or connections
+	Target   int    // number of the worker or router
+	Amount   int    // by kind: bytes that still pass, milliseconds of delay, seconds of a clock step, number of signals or connections
+	Choice   uint64 // by kind: seeds the choice of many workers and the behavior of an agent
 }
 
 // String returns the fault on one line: when it begins in seconds, its kind, target, duration and amount.
 func (f Fault) String() string {
-	return fmt.Sprintf("%6.3f %s %d for %v amount %d", f.At.Seconds(), f.Kind, f.Target, f.Duration, f.Amount)
+	return fmt.Sprintf("%6.3f %s %d for %v amount %d choice %x", f.At.Seconds(), f.Kind, f.Target, f.Duration, f.Amount, f.Choice)
 }
 
 // Plan describes a run: the size of the deployment, and how many faults are injected into it.
@@ -70,7 +76,12 @@
 	minFaultDuration      = 100 * time.Millisecond
 	maxFaultDuration      = 3 * time.Second
 	maxConnectDelay       = time.Second
-	maxBytesBeforeSilence = 600 // a connection may fall silent in the middle of a request
+	maxBytesBeforeSilence = 600             // a connection may fall silent in the middle of a request
+	minAgentSilence       = 3 * time.Second // longer than a watch that has fallen silent may go unnoticed
+	maxAgentSilence       = 6 * time.Second
+	maxAgentDelay         = 1500 * time.Millisecond
+	drainTime             = 2500 * time.Millisecond // of the workers with whose drains an agent returns
+	minShare, maxShare    = 20, 60                  // percent of a role's workers
 	hourSeconds           = 3600
 )
 
@@ -81,13 +92,22 @@
 var routerFaults = []FaultKind{DiscoverySilent, DiscoveryResets, RouterTerminated, RouterTerminated, RouterKilled, RouterReloads,
 	ClockStepped, ClockStepped}
 
+// Each schedule has one fault of each of these lists.
+var (
+	agentFaults = []FaultKind{AgentSilent, AgentMoved, AgentMoved, AgentMovedTwice}
+	groupFaults = []FaultKind{WorkersStopped, WorkersStopped, WorkersDeaf}
+)
+
 // Schedule returns the faults of the plan, ordered by their time. They depend on nothing but the plan.
 func (p Plan) Schedule() []Fault {
 	random := rand.New(rand.NewPCG(p.Seed, 1))
 	var faults []Fault
 	busyUntil := make(map[string]time.Duration) // faults with the same key do not overlap
+	drawn := []Fault{p.randomAgentFault(random), p.randomGroupFault(random)}
 	for range p.Faults {
-		f := p.randomFault(random)
+		drawn = append(drawn, p.randomFault(random))
+	}
+	for _, f := range drawn {
 		if key := f.exclusiveKey(); key != "" {
 			if f.At < busyUntil[key] {
 				continue
@@ -128,6 +148,39 @@
 	return f
 }
 
+// randomAgentFault draws a fault of one router's agent of discovery.
+func (p Plan) randomAgentFault(random *rand.Rand) Fault {
+	f := Fault{Kind: agentFaults[random.IntN(len(agentFaults))], Target: random.IntN(p.Routers), Choice: random.Uint64(),
+		Duration: minAgentSilence + time.Duration(random.Int64N(int64(maxAgentSilence-minAgentSilence)))}
+	f.At = faultFreeStart + time.Duration(random.Int64N(int64(p.Length-faultFreeStart)))/2
+	if random.IntN(2) == 0 {
+		f.Amount = int(time.Duration(random.Int64N(int64(maxAgentDelay))).Milliseconds())
+	}
+	return f
+}
+
+// randomGroupFault draws a fault of many workers at once.
+func (p Plan) randomGroupFault(random *rand.Rand) Fault {
+	f := Fault{Kind: groupFaults[random.IntN(len(groupFaults))], Choice: random.Uint64(), Amount: minShare + random.IntN(maxShare-minShare),
+		Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))}
+	f.At = faultFreeStart + time.Duration(random.Int64N(int64(p.Length-faultFreeStart)))
+	return f
+}
+
+// group returns the numbers of the workers that a fault of many concerns: a share of the readers, of the writers, or of both.
+func (p Plan) group(f Fault) (workers []int) {
+	random := rand.New(rand.NewPCG(f.Choice, 2))
+	roles := random.IntN(3)
+	for i := range p.Readers + p.Writers {
+		reader := i < p.Readers
+		chosen := random.IntN(100) < f.Amount
+		if chosen && (roles == 2 || reader == (roles == 0)) {
+			workers = append(workers, i)
+		}
+	}
+	return workers
+}
+
 // exclusiveKey returns the key within which faults must not overlap: one process that is ended or stopped, or one proxy. It is
 // "" for faults that may overlap on one target.
 func (f Fault) exclusiveKey() string {
@@ -138,7 +191,7 @@
 		return fmt.Sprint("worker ", f.Target)
 	case WorkerSilent, WorkerUnreachable, WorkerRefuses, WorkerDelayed: // a proxy has one fault at a time
 		return fmt.Sprint("network ", f.Target)
-	case DiscoverySilent:
+	case DiscoverySilent, AgentSilent, AgentMoved, AgentMovedTwice:
 		return fmt.Sprint("discovery ", f.Target)
 	}
 	return ""
--- a/internal/scale/soak/worker.go
+++ b/internal/scale/soak/worker.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/rpc"
 	"os"
+	"os/signal"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 
 	"rowanyard/internal/standin"
@@ -50,6 +54,53 @@
 	return accepted
 }
 
+// Signals to a worker process.
+const (
+	signalDeaf    = syscall.SIGUSR1 // it takes no attempts from now on
+	signalHearing = syscall.SIGUSR2 // it takes attempts again
+)
+
+// attemptGate holds attempts back while a worker is deaf.
+type attemptGate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while attempts are taken
+}
+
+func newAttemptGate() *attemptGate {
+	g := &attemptGate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// handleSignals opens and closes the gate as signals say.
+func (g *attemptGate) handleSignals(signals <-chan os.Signal) {
+	deaf := false
+	for s := range signals {
+		g.mu.Lock()
+		switch {
+		case s == signalDeaf && !deaf:
+			g.open, deaf = make(chan struct{}), true
+		case s == signalHearing && deaf:
+			close(g.open)
+			deaf = false
+		}
+		g.mu.Unlock()
+	}
+}
+
+// admit implements standin.Options.AdmitAttempt.
+func (g *attemptGate) admit(ctx context.Context) bool {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	select {
+	case <-open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Hold implements standin.StateStore.
 func (r *ledgerClient) Hold(id, _ string) bool { return r.call(callHold, id, 0) }
 
@@ -73,9 +124,12 @@
 	if err != nil {
 		return err
 	}
+	gate, signals := newAttemptGate(), make(chan os.Signal, 1)
+	signal.Notify(signals, signalDeaf, signalHearing)
+	go gate.handleSignals(signals)
 	r := &ledgerClient{client: client, host: os.Getenv(envHost), incarnation: incarnation}
 	fleet, err := standin.Start(standin.Options{OnlyKind: os.Getenv(envKind), Tokens: responseTokens, TokenInterval: tokenInterval,
-		ReadDuration: readDuration, StateStore: r,
+		ReadDuration: readDuration, StateStore: r, AdmitAttempt: gate.admit,
 		OnAttemptTimeout: func(id, _ string, left time.Duration) { r.call(callDeadline, id, left) },
 		OnEvent: func(what, id, _, _ string) {
 			if what == callArrived || what == callEnded || what == callEffect {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -66,6 +66,9 @@
 	// OnAttemptTimeout, if not nil, is called with the time for which a router will wait for an attempt, as sent with an
 	// HTTP request.
 	OnAttemptTimeout func(id, host string, timeout time.Duration)
+	// AdmitAttempt, if not nil, is called before an attempt is taken over HTTP, and blocks until it may be. An attempt for which
+	// it returns false is never taken; it does so if the caller has gone. Other calls are answered meanwhile.
+	AdmitAttempt func(ctx context.Context) bool
 	// OnEvent, if not nil, is called with what happens at a worker, while the Fleet's lock is held: "out" when an attempt
 	// begins, "in" when it ends over HTTP, "held" and "freed" for a state, "effect" for a write.
 	OnEvent func(event, id, class, host string)
@@ -403,6 +406,9 @@
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if w.fleet.AdmitAttempt != nil && !w.fleet.AdmitAttempt(r.Context()) {
+		return
+	}
 	if remaining, err := strconv.Atoi(r.Header.Get("X-Remaining-Ms")); err == nil && w.fleet.OnAttemptTimeout != nil {
 		w.fleet.OnAttemptTimeout(r.Header.Get("X-Txn"), w.name, time.Duration(remaining)*time.Millisecond)
 	}
