--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -80,13 +80,14 @@
 	discoveryOutages []discoveryOutage
 	agentSilences    []agentSilence
 	workerPauses     []workerPause
+	standstills      []standstill
 	routers          []*router
 	eventsByID       map[string][]event
 }
 
 func (d *deployment) checkInvariants() Report {
 	rec := &records{events: d.ledger.snapshot(), requests: d.requestLog.finished, healthChanges: d.healthChanges,
-		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, routers: d.routers,
+		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, standstills: d.standstills, routers: d.routers,
 		eventsByID: make(map[string][]event)}
 	for _, e := range rec.events {
 		rec.eventsByID[e.id] = append(rec.eventsByID[e.id], e)
@@ -250,7 +251,7 @@
 		if rec.routerWasKilled(id) {
 			continue
 		}
-		if b := checkState(id, rec.withAbandonedReads(id, events)); b != nil {
+		if b := checkState(id, rec.withAbandonedReads(id, events), rec.standstills); b != nil {
 			found = append(found, *b)
 		}
 	}
@@ -278,8 +279,9 @@
 	return all
 }
 
-// checkState goes through the events of one request.
-func checkState(id string, events []event) *Violation {
+// checkState goes through the events of one request. A state that is held as no worker runs counts from when they run again: "a
+// call counts once its last byte has reached a running worker".
+func checkState(id string, events []event, standstills []standstill) *Violation {
 	isHeld := false
 	active := make(map[string]int)
 	var idleSince time.Time // since when no attempt of the request has been running
@@ -288,7 +290,13 @@
 		for _, n := range active {
 			activeCount += n
 		}
-		if idleFor := until.Sub(idleSince); isHeld && activeCount == 0 && idleFor > idleHoldLimit+idleHoldSlack {
+		since := idleSince
+		for _, s := range standstills {
+			if s.from.Before(since.Add(idleHoldLimit+idleHoldSlack)) && s.to.After(since) {
+				since = s.to
+			}
+		}
+		if idleFor := until.Sub(since); isHeld && activeCount == 0 && idleFor > idleHoldLimit+idleHoldSlack {
 			return &Violation{Rule: RuleStateReleased, Message: fmt.Sprintf("%s: its state was held for %v with no attempt running", id, idleFor), RequestID: id}
 		}
 		return nil
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -60,8 +60,12 @@
 	discoveryOutages []discoveryOutage
 	agentSilences    []agentSilence
 	workerPauses     []workerPause
+	standstills      []standstill
 }
 
+// standstill is a period in which no worker ran, so that nothing could be released.
+type standstill struct{ from, to time.Time }
+
 // workerPause is a period in which a worker took nothing of what had reached its machine.
 type workerPause struct {
 	host     string
@@ -237,9 +241,21 @@
 	case AgentSilent, AgentMoved, AgentMovedTwice:
 		d.injectIntoAgent(f, d.routers[f.Target])
 	case WorkersStopped:
-		d.signalGroup(f, syscall.SIGSTOP, syscall.SIGCONT)
+		d.signalGroup(d.plan.group(f), f.Duration, syscall.SIGSTOP, syscall.SIGCONT)
 	case WorkersDeaf:
-		d.signalGroup(f, signalDeaf, signalHearing)
+		d.signalGroup(d.plan.group(f), f.Duration, signalDeaf, signalHearing)
+	case WorkersStandStill:
+		from := time.Now()
+		d.signalGroup(d.plan.all(), f.Duration, syscall.SIGSTOP, syscall.SIGCONT)
+		d.mu.Lock()
+		d.standstills = append(d.standstills, standstill{from, time.Now()})
+		d.mu.Unlock()
+	case ReadsBroken:
+		breaking, deaf := d.plan.splitReaders(f)
+		var both sync.WaitGroup
+		both.Go(func() { d.signalGroup(breaking, f.Duration, signalBreaks, signalWhole) })
+		both.Go(func() { d.signalGroup(deaf, f.Duration, signalDeaf, signalHearing) })
+		both.Wait()
 	default:
 		d.injectIntoWorker(f, d.workers[f.Target])
 	}
@@ -317,13 +333,13 @@
 	}
 }
 
-// signalGroup sends one signal to many workers, and another one after the fault's duration.
-func (d *deployment) signalGroup(f Fault, begin, end os.Signal) {
-	from, group := time.Now(), d.plan.group(f)
+// signalGroup sends one signal to many workers, and another one after the given time.
+func (d *deployment) signalGroup(group []int, duration time.Duration, begin, end os.Signal) {
+	from := time.Now()
 	for _, i := range group {
 		d.signalWorker(d.workers[i], begin)
 	}
-	time.Sleep(f.Duration)
+	time.Sleep(duration)
 	for _, i := range group {
 		d.signalWorker(d.workers[i], end)
 		d.recordPause(d.workers[i], from)
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -17,27 +17,29 @@
 
 // The faults.
 const (
-	WorkerSilent      FaultKind = "worker silent"      // its connections, old and new, stay open and carry nothing
-	WorkerUnreachable FaultKind = "worker unreachable" // as WorkerSilent, but new connections are never established
-	WorkerRefuses     FaultKind = "worker refuses"     // new connections are reset
-	WorkerDelayed     FaultKind = "worker delayed"     // new connections are served after a delay
-	WorkerOpenSilent  FaultKind = "worker open silent" // open connections carry nothing any more; new ones work
-	WorkerResets      FaultKind = "worker resets"      // open connections are reset
-	WorkerStopped     FaultKind = "worker stopped"     // SIGSTOP, then SIGCONT
-	WorkerKilled      FaultKind = "worker killed"      // SIGKILL, then a new process
-	WorkerDrains      FaultKind = "worker drains"      // listed as draining, then as up again
-	WorkersStopped    FaultKind = "workers stopped"    // many at once: SIGSTOP, then SIGCONT
-	WorkersDeaf       FaultKind = "workers deaf"       // many at once answer probes and releases, and take no attempts
-	DiscoverySilent   FaultKind = "discovery silent"   // to one router: its connections stay open and carry nothing
-	AgentSilent       FaultKind = "agent silent"       // of one router: sends nothing, and returns with drains
-	AgentMoved        FaultKind = "agent moved"        // SIGHUP names another agent, which is silent, then slow, and returns with drains
-	AgentMovedTwice   FaultKind = "agent moved twice"  // the same with a second SIGHUP, to a third agent, in the silence
-	DiscoveryResets   FaultKind = "discovery resets"   // to one router: its connections are reset
-	RouterTerminated  FaultKind = "router terminated"  // SIGTERM, SIGKILL at the earliest time allowed, and a new process
-	RouterKilled      FaultKind = "router killed"      // SIGKILL, and a new process
-	RouterReloads     FaultKind = "router reloads"     // a series of SIGHUP
-	ClockStepped      FaultKind = "wall clock stepped" // of one router
-	IdleConnections   FaultKind = "crowd"              // many idle connections to one router
+	WorkerSilent      FaultKind = "worker silent"       // its connections, old and new, stay open and carry nothing
+	WorkerUnreachable FaultKind = "worker unreachable"  // as WorkerSilent, but new connections are never established
+	WorkerRefuses     FaultKind = "worker refuses"      // new connections are reset
+	WorkerDelayed     FaultKind = "worker delayed"      // new connections are served after a delay
+	WorkerOpenSilent  FaultKind = "worker open silent"  // open connections carry nothing any more; new ones work
+	WorkerResets      FaultKind = "worker resets"       // open connections are reset
+	WorkerStopped     FaultKind = "worker stopped"      // SIGSTOP, then SIGCONT
+	WorkerKilled      FaultKind = "worker killed"       // SIGKILL, then a new process
+	WorkerDrains      FaultKind = "worker drains"       // listed as draining, then as up again
+	WorkersStopped    FaultKind = "workers stopped"     // many at once: SIGSTOP, then SIGCONT
+	WorkersDeaf       FaultKind = "workers deaf"        // many at once answer probes and releases, and take no attempts
+	ReadsBroken       FaultKind = "reads broken"        // some readers reset each read's connection as the read is done, the others are deaf
+	WorkersStandStill FaultKind = "workers stand still" // all are stopped
+	DiscoverySilent   FaultKind = "discovery silent"    // to one router: its connections stay open and carry nothing
+	AgentSilent       FaultKind = "agent silent"        // of one router: sends nothing, and returns with drains
+	AgentMoved        FaultKind = "agent moved"         // SIGHUP names another agent, which is silent, then slow, and returns with drains
+	AgentMovedTwice   FaultKind = "agent moved twice"   // the same with a second SIGHUP, to a third agent, in the silence
+	DiscoveryResets   FaultKind = "discovery resets"    // to one router: its connections are reset
+	RouterTerminated  FaultKind = "router terminated"   // SIGTERM, SIGKILL at the earliest time allowed, and a new process
+	RouterKilled      FaultKind = "router killed"       // SIGKILL, and a new process
+	RouterReloads     FaultKind = "router reloads"      // a series of SIGHUP
+	ClockStepped      FaultKind = "wall clock stepped"  // of one router
+	IdleConnections   FaultKind = "crowd"               // many idle connections to one router
 )
 
 // Fault is one fault of a schedule. It begins at At, counted from the start of the workload, and lasts for Duration.
@@ -95,7 +97,7 @@
 // Each schedule has one fault of each of these lists.
 var (
 	agentFaults = []FaultKind{AgentSilent, AgentMoved, AgentMoved, AgentMovedTwice}
-	groupFaults = []FaultKind{WorkersStopped, WorkersStopped, WorkersDeaf}
+	groupFaults = []FaultKind{WorkersStopped, WorkersStopped, WorkersDeaf, ReadsBroken, ReadsBroken, WorkersStandStill}
 )
 
 // Schedule returns the faults of the plan, ordered by their time. They depend on nothing but the plan.
@@ -181,6 +183,27 @@
 	return workers
 }
 
+// splitReaders returns the numbers of all readers, in two parts: a share of them and the others.
+func (p Plan) splitReaders(f Fault) (some, others []int) {
+	random := rand.New(rand.NewPCG(f.Choice, 2))
+	for i := range p.Readers {
+		if random.IntN(100) < f.Amount {
+			some = append(some, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	return some, others
+}
+
+// all returns the numbers of all workers.
+func (p Plan) all() (workers []int) {
+	for i := range p.Readers + p.Writers {
+		workers = append(workers, i)
+	}
+	return workers
+}
+
 // exclusiveKey returns the key within which faults must not overlap: one process that is ended or stopped, or one proxy. It is
 // "" for faults that may overlap on one target.
 func (f Fault) exclusiveKey() string {
--- a/internal/scale/soak/worker.go
+++ b/internal/scale/soak/worker.go
@@ -38,6 +38,7 @@
 	responseTokens = 8
 	tokenInterval  = 30 * time.Millisecond
 	readDuration   = 25 * time.Millisecond
+	signalBacklog  = 8
 )
 
 // ledgerClient reports the events of this worker process to the ledger.
@@ -56,14 +57,17 @@
 
 // Signals to a worker process.
 const (
-	signalDeaf    = syscall.SIGUSR1 // it takes no attempts from now on
-	signalHearing = syscall.SIGUSR2 // it takes attempts again
+	signalDeaf    = syscall.SIGUSR1  // it takes no attempts from now on
+	signalHearing = syscall.SIGUSR2  // it takes attempts again
+	signalBreaks  = syscall.SIGHUP   // it resets the connection of each read that is done from now on
+	signalWhole   = syscall.SIGWINCH // it answers them again
 )
 
-// attemptGate holds attempts back while a worker is deaf.
+// attemptGate holds attempts back while a worker is deaf, and breaks reads.
 type attemptGate struct {
-	mu   sync.Mutex
-	open chan struct{} // closed while attempts are taken
+	mu     sync.Mutex
+	open   chan struct{} // closed while attempts are taken
+	breaks bool          // reads are broken
 }
 
 func newAttemptGate() *attemptGate {
@@ -83,11 +87,23 @@
 		case s == signalHearing && deaf:
 			close(g.open)
 			deaf = false
+		case s == signalBreaks || s == signalWhole:
+			g.breaks = s == signalBreaks
 		}
 		g.mu.Unlock()
 	}
 }
 
+// fault implements standin.Options.FaultFor.
+func (g *attemptGate) fault(stage, _ string, _ int) standin.Fault {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.breaks && stage == "read" {
+		return standin.ResetBeforeFirstToken
+	}
+	return standin.None
+}
+
 // admit implements standin.Options.AdmitAttempt.
 func (g *attemptGate) admit(ctx context.Context) bool {
 	g.mu.Lock()
@@ -124,12 +140,12 @@
 	if err != nil {
 		return err
 	}
-	gate, signals := newAttemptGate(), make(chan os.Signal, 1)
-	signal.Notify(signals, signalDeaf, signalHearing)
+	gate, signals := newAttemptGate(), make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, signalDeaf, signalHearing, signalBreaks, signalWhole)
 	go gate.handleSignals(signals)
 	r := &ledgerClient{client: client, host: os.Getenv(envHost), incarnation: incarnation}
 	fleet, err := standin.Start(standin.Options{OnlyKind: os.Getenv(envKind), Tokens: responseTokens, TokenInterval: tokenInterval,
-		ReadDuration: readDuration, StateStore: r, AdmitAttempt: gate.admit,
+		ReadDuration: readDuration, StateStore: r, AdmitAttempt: gate.admit, FaultFor: gate.fault,
 		OnAttemptTimeout: func(id, _ string, left time.Duration) { r.call(callDeadline, id, left) },
 		OnEvent: func(what, id, _, _ string) {
 			if what == callArrived || what == callEnded || what == callEffect {
