--- a/internal/httpfront/discoverycall.go
+++ b/internal/httpfront/discoverycall.go
@@ -50,7 +50,7 @@
 		err = cause
 	}
 	c.stop(nil)
-	c.follower.callEnded(c, err)
+	c.follower.recordEnd(c, err)
 }
 
 func (c *discoveryCall) readAll() error {
--- a/internal/httpfront/follower.go
+++ b/internal/httpfront/follower.go
@@ -12,6 +12,17 @@
 	"time"
 )
 
+// callReason is why a call is made.
+type callReason string
+
+// The reasons, as the log has them.
+const (
+	firstCall   callReason = "address"      // at an address
+	callEnded   callReason = "call ended"   // the one before, and no other is open
+	watchSilent callReason = "watch silent" // the call in use has carried no line for long
+	noAnswer    callReason = "no answer"    // to the calls that are open
+)
+
 // follower makes the calls to one address. Discovery.mu guards its fields below wake.
 type follower struct {
 	discovery *Discovery
@@ -75,7 +86,7 @@
 	defer f.discovery.mu.Unlock()
 	now := time.Now()
 	if f.ctx.Err() == nil && !now.Before(f.nextCallAt()) {
-		reason := f.callReason()
+		reason := f.nextCallReason()
 		f.giveUpCalls(now)
 		f.startCall(now, reason)
 	}
@@ -93,17 +104,17 @@
 	return at
 }
 
-// callReason returns why the next call is made, for the log.
-func (f *follower) callReason() string {
+// nextCallReason returns why the next call is made.
+func (f *follower) nextCallReason() callReason {
 	switch {
 	case f.callCount == 0:
-		return "address"
+		return firstCall
 	case len(f.calls) == 0:
-		return "call ended"
+		return callEnded
 	case f.calls[0].answered:
-		return "watch silent"
+		return watchSilent
 	}
-	return "no answer"
+	return noAnswer
 }
 
 // giveUpCalls ends the calls that have waited for long enough.
@@ -115,11 +126,11 @@
 	}
 }
 
-func (f *follower) startCall(now time.Time, reason string) {
+func (f *follower) startCall(now time.Time, reason callReason) {
 	pace := f.pace()
 	f.callCount++
 	c := &discoveryCall{follower: f, number: f.callCount, after: f.version, began: now, lastHeard: now,
-		suspectAt: now.Add(pace.answerWait(f.version, f.unheard)), patience: pace.patience(f.unheard), silent: len(f.calls) > 0}
+		suspectAt: now.Add(pace.answerWait(f.version, f.unheard)), patience: pace.patience(f.unheard), silent: reason == watchSilent || reason == noAnswer}
 	f.unheard++
 	for _, other := range f.calls {
 		other.silent = true
@@ -138,8 +149,8 @@
 	f.calls = slices.DeleteFunc(f.calls, func(open *discoveryCall) bool { return open == c })
 }
 
-// callEnded records and logs the end of a call.
-func (f *follower) callEnded(c *discoveryCall, err error) {
+// recordEnd records and logs the end of a call.
+func (f *follower) recordEnd(c *discoveryCall, err error) {
 	d := f.discovery
 	d.mu.Lock()
 	defer d.mu.Unlock()
