Late releases ask a silent reader first in every fourth round only

Each round after a read of unknown outcome asked its reader first, and a reader that is cut off costs a connection that never comes up each time: with twenty such reads at once some seventeen sockets, of a part that attempts need too. Rounds ask workers that answer, and the reader in the first two and in every fourth, which is enough to hear that it is back. The tests of internal/core pass three times with the race detector.

--- a/internal/core/lateread.go
+++ b/internal/core/lateread.go
@@ -13,6 +13,8 @@
 	maxReadTime            = 5 * time.Second        // of a read that is under way at a reader that answers calls
 	maxReaderSilence       = 10 * time.Second       // past the read's deadline, until a reader that is not heard from is given up
 	maxLateRead            = 30 * time.Second       // from the read's end, however late its deadline
+	readerFirstRounds      = 2                      // rounds that ask a reader first that is not heard from, and then ...
+	readerRoundInterval    = 4                      // ... every fourth: each may wait for a connection that never comes up
 )
 
 // lateRead is a read of unknown outcome whose state is released.
@@ -24,6 +26,7 @@
 	readTime  time.Duration // after which a reader that has been heard from has ended it
 	heardFrom time.Time     // when the reader was first seen to answer after endedAt; zero: it was not
 	nextIsOut bool          // a further attempt was in flight as the releases began
+	round     int           // number of the round, from 0
 }
 
 // newLateRead returns the lateRead of a read that has just ended.
@@ -75,16 +78,18 @@
 			return
 		}
 		time.Sleep(pause)
+		l.round++
 	}
 }
 
 // mayRelease reports whether a release would hit no state that a write is to fetch.
 func (l *lateRead) mayRelease() bool { return !l.req.stateWanted.Load() }
 
-// preferred returns the worker that is asked first: the reader, unless a further attempt is in flight. The reader may be slow
-// to act, and a late release would hit the state that the next read leaves.
+// preferred returns the worker that is asked first: the reader in most rounds, unless a further attempt is in flight. The reader
+// may be slow to act, and a late release would hit the state that the next read leaves.
 func (l *lateRead) preferred() Worker {
-	if l.nextIsOut && !l.req.answerFixed.Load() {
+	inTurn := !l.heardFrom.IsZero() || l.round < readerFirstRounds || l.round%readerRoundInterval == 0
+	if !inTurn || l.nextIsOut && !l.req.answerFixed.Load() {
 		return Worker{}
 	}
 	return l.reader
