--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -79,8 +79,10 @@
 }
 
 const (
-	sampleInterval = 100 * time.Millisecond
-	settleTime     = 4 * time.Second // after the last fault, for open requests and held state
+	sampleInterval       = 100 * time.Millisecond
+	deafBeforeStandStill = 200 * time.Millisecond
+	deafAfterStandStill  = time.Second
+	settleTime           = 4 * time.Second // after the last fault, for open requests and held state
 )
 
 // Run carries out a plan and returns the violations that the checks find.
@@ -245,11 +247,7 @@
 	case WorkersDeaf:
 		d.signalGroup(d.plan.group(f), f.Duration, signalDeaf, signalHearing)
 	case WorkersStandStill:
-		from := time.Now()
-		d.signalGroup(d.plan.all(), f.Duration, syscall.SIGSTOP, syscall.SIGCONT)
-		d.mu.Lock()
-		d.standstills = append(d.standstills, standstill{from, time.Now()})
-		d.mu.Unlock()
+		d.standStill(f)
 	case ReadsBroken:
 		breaking, deaf := d.plan.splitReaders(f)
 		var both sync.WaitGroup
@@ -333,6 +331,25 @@
 	}
 }
 
+// standStill stops all workers shortly after the writers have ceased to take attempts, so that states are held as they stop. The
+// writers take attempts again some time after all run.
+func (d *deployment) standStill(f Fault) {
+	all := d.plan.all()
+	var both sync.WaitGroup
+	both.Go(func() {
+		d.signalGroup(all[d.plan.Readers:], deafBeforeStandStill+f.Duration+deafAfterStandStill, signalDeaf, signalHearing)
+	})
+	both.Go(func() {
+		time.Sleep(deafBeforeStandStill)
+		from := time.Now()
+		d.signalGroup(all, f.Duration, syscall.SIGSTOP, syscall.SIGCONT)
+		d.mu.Lock()
+		d.standstills = append(d.standstills, standstill{from, time.Now()})
+		d.mu.Unlock()
+	})
+	both.Wait()
+}
+
 // signalGroup sends one signal to many workers, and another one after the given time.
 func (d *deployment) signalGroup(group []int, duration time.Duration, begin, end os.Signal) {
 	from := time.Now()
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -29,7 +29,7 @@
 	WorkersStopped    FaultKind = "workers stopped"     // many at once: SIGSTOP, then SIGCONT
 	WorkersDeaf       FaultKind = "workers deaf"        // many at once answer probes and releases, and take no attempts
 	ReadsBroken       FaultKind = "reads broken"        // some readers reset each read's connection as the read is done, the others are deaf
-	WorkersStandStill FaultKind = "workers stand still" // all are stopped
+	WorkersStandStill FaultKind = "workers stand still" // all are stopped, and the writers are deaf before and after that
 	DiscoverySilent   FaultKind = "discovery silent"    // to one router: its connections stay open and carry nothing
 	AgentSilent       FaultKind = "agent silent"        // of one router: sends nothing, and returns with drains
 	AgentMoved        FaultKind = "agent moved"         // SIGHUP names another agent, which is silent, then slow, and returns with drains
