--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -23,10 +23,11 @@
 	recentContactWindow = 10 * time.Second       // workers that answered within this are asked before others
 )
 
-// releaseIfDue releases the state that may be held for the request: a known one once the request is answered and its attempts have
-// ended, or at the pin limit while they end, and one that a read of unknown outcome may have left once no attempt is in flight. At the pin limit the latter is released although a further
-// attempt is in flight, since that attempt need not have arrived. It is not released earlier, since a release that is
-// delayed on its way would hit the state that the next read leaves.
+// releaseIfDue releases the state that may be held for the request: a known one once the request is answered and its
+// attempts have ended, or at the pin limit while they end, and one that a read of unknown outcome may have left once no
+// attempt is in flight. At the pin limit the latter is released although a further attempt is in flight, since that attempt
+// need not have arrived. It is not released earlier, since a release that is delayed on its way would hit the state that the
+// next read leaves.
 func (req *activeRequest) releaseIfDue() {
 	idle := req.inFlight == 0 && len(req.commands) == 0
 	if idle || req.unknownReadPastLimit() {
