One flag says whether a state is wanted: known releases and those of late reads ask the same

startRelease compared a counter of successful reads to learn whether a further read had left a state, while lateRead asked stateWanted, which says the same and is kept at the same places. The counter is gone, mayRelease serves both, and startRelease itself notes that the state is given up. A comment no longer names a constant of the tests. Behaviour as before, but for one case without effect: a release that is still repeated after a later state was fetched goes on until it is taken.

--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -46,20 +46,19 @@
 	retryAfter      time.Duration
 	answered        bool // the final answer was delivered
 	attempts        []*attempt
-	inFlight        int          // attempts without a result
-	streaming       bool         // the answer's stream has not ended
-	streamAttempt   int          // number of the attempt that streams
-	clientLeft      bool         // the client left while the answer streamed
-	mayHoldState    bool         // a successful read left a state that a worker may still hold
-	stateWaiting    bool         // ... and that no write has fetched
-	stateWanted     atomic.Bool  // ... and that a write is to fetch
-	unknownReads    []*lateRead  // reads of unknown outcome; the release of what they may leave has not begun
-	reader          Worker       // where that state is, or may be
-	successfulReads atomic.Int32 // reads that left a state
-	heldSince       time.Time    // start of the current holding time of the waiting state
-	releasedAtLimit bool         // the waiting state was released since heldSince, at the pin limit
-	answerFixed     atomic.Bool  // answered, for the goroutines of attempts: nothing more may be sent
-	reason          string       // the module's latest reason for a choice
+	inFlight        int         // attempts without a result
+	streaming       bool        // the answer's stream has not ended
+	streamAttempt   int         // number of the attempt that streams
+	clientLeft      bool        // the client left while the answer streamed
+	mayHoldState    bool        // a successful read left a state that a worker may still hold
+	stateWaiting    bool        // ... and that no write has fetched
+	stateWanted     atomic.Bool // ... and that a write is to fetch
+	unknownReads    []*lateRead // reads of unknown outcome; the release of what they may leave has not begun
+	reader          Worker      // where that state is, or may be
+	heldSince       time.Time   // start of the current holding time of the waiting state
+	releasedAtLimit bool        // the waiting state was released since heldSince, at the pin limit
+	answerFixed     atomic.Bool // answered, for the goroutines of attempts: nothing more may be sent
+	reason          string      // the module's latest reason for a choice
 }
 
 // attempt is an attempt with the core's record of it.
@@ -407,7 +406,6 @@
 		req.mayHoldState, req.stateWaiting, req.reader = true, true, a.To
 		req.heldSince, req.releasedAtLimit = time.Now(), false
 		req.stateWanted.Store(!req.answered)
-		req.successfulReads.Add(1)
 		if predicted, ok := req.CachedTokens[a.To.ID]; ok && req.core.CacheReports != nil {
 			req.core.CacheReports.RecordPrediction(a.To.ID, predicted, e.CachedTokens)
 		}
--- a/internal/core/lateread.go
+++ b/internal/core/lateread.go
@@ -70,7 +70,7 @@
 	defer c.running.End()
 	for pause := secondReleaseDelay; ; pause = l.interval() {
 		over := l.isOver()
-		if l.mayRelease() && c.releaseOnce(l.req, l.preferred(), l.mayRelease) && over {
+		if l.req.mayRelease() && c.releaseOnce(l.req, l.preferred(), l.req.mayRelease) && over {
 			return
 		}
 		if time.Now().After(l.lastEnd.Add(maxReleaseTime)) {
@@ -82,9 +82,6 @@
 	}
 }
 
-// mayRelease reports whether a release would hit no state that a write is to fetch.
-func (l *lateRead) mayRelease() bool { return !l.req.stateWanted.Load() }
-
 // preferred returns the worker that is asked first: the reader in most rounds, unless a further attempt is in flight. The reader
 // may be slow to act, and a late release would hit the state that the next read leaves.
 func (l *lateRead) preferred() Worker {
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -57,7 +57,6 @@
 func (req *activeRequest) releaseUnansweredWrite() {
 	if req.mayHoldState && !req.answered {
 		req.releasedAtLimit = true
-		req.stateWanted.Store(false)
 		req.startRelease("limit, no sign of the write", req.reader)
 	}
 }
@@ -65,12 +64,15 @@
 // startRelease releases the state held for the request in the background, and stops as soon as a further read has left a
 // state, which is wanted. preferred is asked first: the worker that has the state.
 func (req *activeRequest) startRelease(why string, preferred Worker) {
-	successfulReads := req.successfulReads.Load()
+	req.stateWanted.Store(false)
 	req.logRelease(why, preferred)
 	req.core.running.Begin()
-	go req.core.release(req, preferred, func() bool { return req.successfulReads.Load() == successfulReads })
+	go req.core.release(req, preferred, req.mayRelease)
 }
 
+// mayRelease reports whether a release would hit no state that a write is to fetch.
+func (req *activeRequest) mayRelease() bool { return !req.stateWanted.Load() }
+
 // logRelease logs that a release begins, and what the request has come to.
 func (req *activeRequest) logRelease(why string, preferred Worker) {
 	fields := []any{"id", req.ID, "txn", req.Label, "why", why, "first", preferred.ID, "held_ms", req.heldFor().Milliseconds(), "attempts", len(req.attempts)}
--- a/internal/httpfront/discoverypace.go
+++ b/internal/httpfront/discoverypace.go
@@ -15,8 +15,8 @@
 )
 
 // Where lists are pushed, discovery is an agent on the router's own machine, whose calls cost nothing. What the agent has
-// counts as told at once, so while it is silent it is called again well within the grace that a drain has (drainGrace
-// less what a call and a delayed write take). Where lists are requested, all routers share discovery, and a change must be
+// counts as told at once, so while it is silent it is called again well within the grace of a drain, less what a call
+// and a delayed write take. Where lists are requested, all routers share discovery, and a change must be
 // applied at most changeDeadline after discovery has it and can be reached, or moveDeadline after a SIGHUP named another
 // address. So a call begins at the latest at that deadline, less answerAllowance for its answer, counted from discovery's last
 // line or the beginning of the previous call. This limits the wait after an overload in either case.
