A test of the bound on tracked streams waits until the core has learned of the last start

Traced: a report is answered as the start is recorded, and the bound is applied when the core has learned of it (trackStream), in another goroutine; the test looked in between.

--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -592,6 +592,11 @@
 			t.Fatal(err)
 		}
 	}
+	// A report is answered before the core has learned of the start, from which on the bound holds.
+	deadline := time.Now().Add(time.Minute)
+	for decisions.OpenStreams(b.coordinator) > 8 && time.Now().Before(deadline) {
+		runtime.Gosched()
+	}
 	if n := decisions.OpenStreams(b.coordinator); n > 8 {
 		t.Errorf("%d streams are tracked, want at most 8", n)
 	}
