A request that has ended is taken back from the system: its bytes went on to the worker

Callers saw: a worker that stops reading in the middle of a request (or is cut off and returns) had the whole of it after its client had left or had its final answer, and ran it. Cause: an attempt is given up by a close or a half-close, and the system goes on delivering what is in its send buffer. Change: internal/delivery knows from the system what has arrived. The bytes of an attempt are discarded with a reset where the connection ends before the worker's system has acknowledged them, also when the process is killed; releases and probes are never reset. A request of which a part is unsent gets no half-close. The system takes 4 KB beyond what it has sent, so that a request the worker does not take stays here: it counts as never sent (503 in place of 502 for a message).

--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -97,9 +97,10 @@
 	release                    // release a state whose write was not answered, although it may be in flight
 )
 
-// The causes with which the contexts of attempts end.
+// The causes with which the contexts of attempts end. ErrTimedOut is for transports to tell a worker that was too slow from an
+// attempt that is not wanted any more.
 var (
-	errTimedOut  = errors.New("the attempt's time is up")
+	ErrTimedOut  = errors.New("the attempt's time is up")
 	errCancelled = errors.New("attempt cancelled")
 )
 
@@ -295,7 +296,7 @@
 	}
 	c.log.Debug("send", "id", req.ID, "txn", req.Label, "n", n, "why", req.latestReason(), "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", uptime.Milliseconds())
 	ctx, stop := context.WithCancelCause(context.Background())
-	timer := time.AfterFunc(remaining, func() { stop(errTimedOut) })
+	timer := time.AfterFunc(remaining, func() { stop(ErrTimedOut) })
 	a.cancel = stop
 	go func() {
 		defer func() {
@@ -308,7 +309,7 @@
 		if !timer.Stop() && res.Status == 0 { // the deadline passed as the first token came: the stream is closed already
 			res = Result{Status: decide.Cancelled}
 		}
-		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), errTimedOut) {
+		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), ErrTimedOut) {
 			res.Status = decide.TimedOut
 		}
 		req.events <- attemptEvent{n, res}
--- a/internal/httpfront/cancel.go
+++ b/internal/httpfront/cancel.go
@@ -9,6 +9,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"rowanyard/internal/delivery"
 )
 
 // attemptWatch watches the context of an attempt and cancels its HTTP request when that ends: at once or, if the
@@ -33,12 +35,22 @@
 	return w
 }
 
+// takeBackDelay is how long after its cancellation a request that has left this machine may arrive and be acknowledged.
+const takeBackDelay = 50 * time.Millisecond
+
 // cancelRequest cancels the request. The half-close signals the cancellation to the worker while the worker's close
-// or late answer can still be read; the transport reports the close as the request's error. A request whose last byte
-// was not sent never counts as executed, so that closing is enough.
+// or late answer can still be read; the transport reports the close as the request's error. A request of which a part has not
+// left this process or this machine never counts as executed: closing its connection takes that part back.
 func (w *attemptWatch) cancelRequest() {
 	conn := w.conn.Load()
-	if w.cancelGrace > 0 && conn != nil && w.sent.Load() && conn.closeWriteFor(w) {
+	if w.cancelGrace > 0 && conn != nil && w.sent.Load() && conn.outbound.Progress() != delivery.Unsent && conn.closeWriteFor(w) {
+		// What has not arrived by then is not sent again to a worker that returns.
+		takeBack := time.AfterFunc(takeBackDelay, func() {
+			if conn.outbound.Progress() != delivery.Arrived {
+				w.cancel(context.Cause(w.attemptCtx))
+			}
+		})
+		defer takeBack.Stop()
 		select {
 		case <-conn.done: // the worker's close was read, and the transport has closed the connection
 		case <-w.requestCtx.Done():
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/delivery"
 )
 
 const (
@@ -28,7 +30,6 @@
 	maxEventBytes      = 64 << 10    // of a line of a stream, and of its first event
 	firstEventTimeout  = time.Second // without a further byte until the first event is complete
 	headerLoadReport   = "X-Pressure"
-	lateAnswerWindow   = 25 * time.Millisecond // a second answer to a request may arrive this late after the first
 )
 
 var (
@@ -50,10 +51,9 @@
 	awaitingAnswer    atomic.Bool                 // a request was written after the end of the last answer
 	mayWrite          atomic.Pointer[func() bool] // called before that write, nil: no check
 	receivedAt        atomic.Int64                // when bytes were last received, since epoch
-	answerEnded       atomic.Int64                // when the last answer ended, since epoch
+	outbound          delivery.Outbound           // of the requests on it
 	done              chan struct{}               // closed with the connection
 	unusable          atomic.Bool                 // must not be used for another request
-	lastWasCall       atomic.Bool                 // the latest request was a call without a body, not an attempt
 	handOverRequested atomic.Bool                 // another process is to continue the answer
 	handOverFD        int                         // the duplicated socket, set once Read has returned errHandedOver
 	addr              string                      // of the worker
@@ -86,6 +86,7 @@
 // Close implements net.Conn.
 func (c *workerConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
+		c.outbound.End()
 		c.openConns.Add(-1)
 		close(c.done)
 		if c.registry != nil {
@@ -110,11 +111,17 @@
 	return c.Conn.Write(p)
 }
 
+// begin prepares the connection for the next request. mayWrite is called before its first byte, nil: no check.
+func (c *workerConn) begin(kind delivery.Kind, mayWrite *func() bool) {
+	c.mayWrite.Store(mayWrite)
+	c.outbound.Begin(kind)
+}
+
 // awaitLateAnswer waits until a second answer to the previous request would have arrived, so that Write detects it.
 // If it were taken for the answer to the next request, a request that runs could count as turned away, or a client
 // could receive another request's stream.
 func (c *workerConn) awaitLateAnswer(ctx context.Context, after func(time.Duration) <-chan time.Time) {
-	wait := lateAnswerWindow - (time.Since(epoch) - time.Duration(c.answerEnded.Load()))
+	wait := c.outbound.ReuseDelay()
 	if wait <= 0 {
 		return
 	}
@@ -195,6 +202,7 @@
 			n, err = c.receive(p)
 		}
 		if err != nil && n == 0 && c.handOverRequested.CompareAndSwap(true, false) && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.outbound.Detach()
 			// The transport closes the connection as soon as it has an error.
 			if c.handOverFD, err = dup(c.Conn); err != nil { // the stream goes on here
 				_ = c.Conn.SetReadDeadline(time.Time{})
@@ -324,7 +332,7 @@
 func (c *workerConn) end(extra int) error {
 	c.state = inHead
 	c.setWatch(nil)
-	c.answerEnded.Store(int64(time.Since(epoch)))
+	c.outbound.Answered()
 	if extra > 0 {
 		c.buf = c.buf[:c.readyBytes]
 		c.unusable.Store(true)
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -23,6 +23,7 @@
 
 	"rowanyard/decide"
 	"rowanyard/internal/core"
+	"rowanyard/internal/delivery"
 	"rowanyard/internal/patience"
 )
 
@@ -35,6 +36,7 @@
 	maxAnswerBytes     = 64 << 10               // bytes read of an answer that is not a stream
 	maxResends         = 3                      // further connections tried when the one at hand turned out to be closed
 	verifyTimeout      = 150 * time.Millisecond // for a worker to reply on a connection that a write is to use
+	writeEndTimeout    = 50 * time.Millisecond  // for the transport to tell how far a request was written that has ended
 	pathHolds          = "/v1/holds/"
 	pathStats          = "/stats"
 	headerTurnedAway   = "X-Turned-Away"
@@ -60,7 +62,7 @@
 func NewWorkers(connectTimeout, connIdle time.Duration, maxConns int, log *slog.Logger) *Workers {
 	w := &Workers{log: log, after: time.After, Descriptors: &DescriptorSource{}}
 	w.connLimit.Store(int64(maxConns))
-	dial := w.Descriptors.wrapDial((&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext)
+	dial := w.Descriptors.wrapDial((&net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: delivery.LimitUnsent}).DialContext)
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if w.openConns.Add(1) > w.connLimit.Load() { // close idle connections to stay within the descriptor limit
@@ -75,7 +77,7 @@
 				w.openConns.Add(-1)
 				return nil, err
 			}
-			conn := &workerConn{Conn: c, openConns: &w.openConns, done: make(chan struct{}), addr: addr, registry: &w.conns}
+			conn := &workerConn{Conn: c, outbound: delivery.Outbound{Conn: c}, openConns: &w.openConns, done: make(chan struct{}), addr: addr, registry: &w.conns}
 			w.conns.add(conn)
 			return conn, nil
 		},
@@ -212,6 +214,8 @@
 	w := x.Workers
 	body := &bodyReader{r: bytes.NewReader(payload), allowed: a.MaySend}
 	var wrote, writeFailed, reused, answerBegun atomic.Bool
+	writeEnded := make(chan struct{})
+	endWrite := sync.OnceFunc(func() { close(writeEnded) })
 	var idle atomic.Int64
 	var outgoing atomic.Pointer[http.Request]
 	watch := watchAttempt(ctx, a.CancelGrace, &body.fullyRead, w.after)
@@ -220,16 +224,15 @@
 			reused.Store(i.Reused)
 			idle.Store(int64(i.IdleTime))
 			if c, ok := i.Conn.(*workerConn); ok {
-				lastWasCall := c.lastWasCall.Swap(false)
 				watch.conn.Store(c)
 				c.setWatch(watch)
-				c.mayWrite.Store(&a.MaySend)
 				// Reads don't wait: they have no effect and their answer is not passed on. After a call without a
 				// body there is no wait either: a second answer to it is neither a stream nor a refusal, and a
 				// connection that has just been verified must be used at once, before it can die.
-				if i.Reused && !a.Read && !lastWasCall {
+				if i.Reused && !a.Read && c.outbound.CarriesAttempt() {
 					c.awaitLateAnswer(ctx, w.after)
 				}
+				c.begin(delivery.Attempt, &a.MaySend)
 			}
 			// Set just before the transport writes the head, because connecting may have taken long.
 			if req := outgoing.Load(); req != nil {
@@ -239,6 +242,7 @@
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			wrote.Store(i.Err == nil)
 			writeFailed.Store(i.Err != nil)
+			endWrite()
 		},
 		GotFirstResponseByte: func() { answerBegun.Store(true) },
 	})
@@ -257,6 +261,12 @@
 	res, err := w.transport.RoundTrip(req)
 	if err != nil {
 		watch.finish()
+		if body.readBegun.Load() { // the connection was closed, which ends a write that waits
+			select {
+			case <-writeEnded:
+			case <-time.After(writeEndTimeout):
+			}
+		}
 		// Whether the request may have run depends on its last byte. If the transport took that byte and reported no
 		// failed write, it may have been delivered.
 		mayHaveRun := wrote.Load() || body.fullyRead.Load() && !writeFailed.Load()
@@ -265,7 +275,11 @@
 		}
 		unsent = errors.Is(err, errUnreadInput) || reused.Load() && !body.readBegun.Load()
 		// A worker that began to answer has fetched the state, even if the answer then broke.
-		return core.Result{Status: failureStatus(ctx, err, mayHaveRun), NoState: !a.Read && mayHaveRun && (answerBegun.Load() || errors.Is(err, errMalformedAnswer)), Err: err}, unsent
+		status := failureStatus(ctx, err, mayHaveRun)
+		if status == decide.Unsent && body.readBegun.Load() && errors.Is(context.Cause(ctx), core.ErrTimedOut) {
+			status = decide.ConnectFailed // the worker did not take all of it in its time
+		}
+		return core.Result{Status: status, NoState: !a.Read && mayHaveRun && (answerBegun.Load() || errors.Is(err, errMalformedAnswer)), Err: err}, unsent
 	}
 	if res.StatusCode == http.StatusOK && !a.Read {
 		if !watch.streamBegun() { // nobody will read the stream
@@ -395,9 +409,8 @@
 	var reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		reused.Store(i.Reused)
-		if c, ok := i.Conn.(*workerConn); ok { // remove the check that an attempt left if it was never written
-			c.lastWasCall.Store(true)
-			c.mayWrite.Store(nil)
+		if c, ok := i.Conn.(*workerConn); ok {
+			c.begin(delivery.Call, nil)
 		}
 	}})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.Addr+path, nil)
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -4,6 +4,7 @@
 package faultproxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -29,6 +30,9 @@
 	Refused
 	// Delayed delays the forwarding of new connections; open ones are not affected.
 	Delayed
+	// Stalled reads nothing from clients, in the middle of a request where SetAfter gives a number of bytes, and goes on when it
+	// ends. What the proxy's receive buffers can't hold stays in the client's system.
+	Stalled
 )
 
 const (
@@ -37,39 +41,58 @@
 	backlogFillers = 2 // connections that fill a backlog of size backlogFull
 	pollInterval   = 5 * time.Millisecond
 	bufferBytes    = 32 << 10
+	smallBytes     = 1 << 10 // read at once where receive buffers are small
 )
 
 // Proxy forwards connections to one target address.
 type Proxy struct {
 	target   string
 	listener *net.TCPListener
+	readSize int // bytes read from a client at once
 
 	mu         sync.Mutex
 	fault      Fault
+	passing    int           // bytes that pass on each connection before the fault begins
 	delay      time.Duration // of new connections while the fault is Delayed
 	changed    chan struct{} // closed and replaced on each change of the fault
 	sessions   map[*session]bool
 	closed     bool
 	goroutines sync.WaitGroup
 	lossy      int // number of connections that have lost bytes to a silence
+	stalled    int // number of open connections that have waited for the end of a stall
+	onStall    *sync.Cond
 }
 
 // session is a client's connection and the corresponding one to the target.
 type session struct {
 	proxy              *Proxy
 	client, server     *net.TCPConn
-	bytesBeforeSilence int  // bytes from the client that still pass during a silence
+	bytesBeforeSilence int  // bytes from the client that still pass during a silence or a stall
 	silenced           bool // SilenceOpen has silenced this session for good
 	lossy              bool // bytes were lost to a silence
+	stalled            bool // it has waited for the end of a stall
 }
 
 // Start starts a Proxy in front of target.
-func Start(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(target string) (*Proxy, error) { return start(target, bufferBytes, &net.ListenConfig{}) }
+
+// StartSmall starts a Proxy whose receive buffers for what clients send hold few bytes, as at a worker that is short of memory.
+func StartSmall(target string) (*Proxy, error) {
+	return start(target, smallBytes, &net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBytes)
+		})
+		return errors.Join(controlErr, err)
+	}})
+}
+
+func start(target string, readSize int, listen *net.ListenConfig) (*Proxy, error) {
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l.(*net.TCPListener), changed: make(chan struct{}), sessions: make(map[*session]bool)}
+	p := &Proxy{target: target, readSize: readSize, listener: l.(*net.TCPListener), changed: make(chan struct{}), sessions: make(map[*session]bool)}
+	p.onStall = sync.NewCond(&p.mu)
 	p.goroutines.Go(p.accept)
 	return p, nil
 }
@@ -101,8 +124,8 @@
 // SetDelayed sets the fault to Delayed with the given delay.
 func (p *Proxy) SetDelayed(delay time.Duration) { p.SetAfter(Delayed, 0, delay) }
 
-// SetAfter changes the fault. If the new fault is a silence, that many bytes from the client still pass on each open
-// connection before the silence begins. When a silence ends, the connections that lost bytes are reset, as their
+// SetAfter changes the fault. If the new fault is a silence or a stall, that many bytes from the client still pass on each
+// connection before it begins. When a silence ends, the connections that lost bytes are reset, as their
 // peers would have given up on them long before.
 func (p *Proxy) SetAfter(fault Fault, bytes int, delay time.Duration) {
 	p.mu.Lock()
@@ -110,7 +133,7 @@
 	if p.closed {
 		return
 	}
-	p.fault, p.delay = fault, delay
+	p.fault, p.passing, p.delay = fault, bytes, delay
 	for s := range p.sessions {
 		s.bytesBeforeSilence = bytes
 		if !isSilent(fault) && s.lossy {
@@ -145,6 +168,20 @@
 	return p.lossy
 }
 
+// AwaitStall waits until a connection has stalled.
+func (p *Proxy) AwaitStall() { p.awaitStalled(func() bool { return p.stalled > 0 }) }
+
+// AwaitStalledEnd waits until the connections that have stalled are closed.
+func (p *Proxy) AwaitStalledEnd() { p.awaitStalled(func() bool { return p.stalled == 0 }) }
+
+func (p *Proxy) awaitStalled(reached func() bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !reached() {
+		p.onStall.Wait()
+	}
+}
+
 func isSilent(f Fault) bool { return f == Silent || f == Unreachable }
 
 // notifyChange wakes up all goroutines that wait for a change. The caller holds p.mu.
@@ -235,6 +272,9 @@
 	if p.closed {
 		s.reset()
 	}
+	if p.fault == Stalled {
+		s.bytesBeforeSilence = p.passing
+	}
 	p.sessions[s] = true
 	p.mu.Unlock()
 	var both sync.WaitGroup
@@ -245,6 +285,10 @@
 	upstream.Close()
 	p.mu.Lock()
 	delete(p.sessions, s)
+	if s.stalled {
+		p.stalled--
+		p.onStall.Broadcast()
+	}
 	p.mu.Unlock()
 }
 
@@ -259,7 +303,13 @@
 // forward copies one direction until it ends. A silence drops the bytes, and the end of the connection too.
 func (s *session) forward(to, from *net.TCPConn, fromClient bool) {
 	buffer := make([]byte, bufferBytes)
+	if fromClient {
+		buffer = buffer[:s.proxy.readSize]
+	}
 	for {
+		if fromClient {
+			s.waitForStallEnd()
+		}
 		n, err := from.Read(buffer)
 		if pass := s.countPassing(n, fromClient); pass > 0 {
 			if _, err := to.Write(buffer[:pass]); err != nil {
@@ -293,6 +343,9 @@
 func (s *session) countPassing(n int, fromClient bool) int {
 	s.proxy.mu.Lock()
 	defer s.proxy.mu.Unlock()
+	if s.proxy.fault == Stalled && fromClient {
+		s.bytesBeforeSilence = max(0, s.bytesBeforeSilence-n)
+	}
 	if !isSilent(s.proxy.fault) && !s.silenced {
 		return n
 	}
@@ -318,3 +371,22 @@
 		<-changed
 	}
 }
+
+// waitForStallEnd waits while a stall keeps this session from reading.
+func (s *session) waitForStallEnd() {
+	for {
+		s.proxy.mu.Lock()
+		stalled := s.proxy.fault == Stalled && s.bytesBeforeSilence == 0 && !s.proxy.closed
+		changed := s.proxy.changed
+		if stalled && !s.stalled {
+			s.stalled = true
+			s.proxy.stalled++
+			s.proxy.onStall.Broadcast()
+		}
+		s.proxy.mu.Unlock()
+		if !stalled {
+			return
+		}
+		<-changed
+	}
+}
