A second answer is taken for no other request, of whatever kind, on any order of them

Cause: nothing in an answer shows which request it belongs to; only the wait of 25 ms after an answer does. Reads, probes, releases and verified writes left it out, each with a reason of its own, so that a verified write followed the last stream on its connection within some milliseconds. Change: one rule for every kind of request, in workerConn.begin: none is written before a second answer to the last attempt would have come. As such an answer may also come later than any wait, connections to a worker that has answered twice carry one attempt each for 10 s.

--- a/internal/httpfront/idleconns.go
+++ b/internal/httpfront/idleconns.go
@@ -1,14 +1,51 @@
 package httpfront
 
 // Open connections to workers. The idle ones are closed when their worker has stopped replying; busy ones may still
-// work and are left alone.
+// work and are left alone. A worker that has answered a request twice may do so later than any wait, so that for some time its
+// connections carry one attempt each.
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// secondAnswerMemory is how long after its latest second answer a worker's connections carry one attempt each.
+const secondAnswerMemory = 10 * time.Second
 
 // connRegistry holds the open connections by worker address. The zero value is empty.
 type connRegistry struct {
-	mu     sync.Mutex
-	byAddr map[string]map[*workerConn]bool
+	mu            sync.Mutex
+	byAddr        map[string]map[*workerConn]bool
+	answeredTwice map[string]time.Time // when a second answer last came from an address
+}
+
+// recordSecondAnswer notes that a second answer came from an address.
+func (r *connRegistry) recordSecondAnswer(addr string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeredTwice == nil {
+		r.answeredTwice = make(map[string]time.Time)
+	}
+	for other, at := range r.answeredTwice {
+		if time.Since(at) > secondAnswerMemory {
+			delete(r.answeredTwice, other)
+		}
+	}
+	r.answeredTwice[addr] = time.Now()
+}
+
+// hasAnsweredTwice reports whether a second answer came from an address within secondAnswerMemory.
+func (r *connRegistry) hasAnsweredTwice(addr string) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.answeredTwice[addr]
+	return ok && time.Since(at) <= secondAnswerMemory
 }
 
 func (r *connRegistry) add(c *workerConn) {
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -35,6 +35,7 @@
 var (
 	errMalformedAnswer = errors.New("a spoilt answer")
 	errExtraBytes      = errors.New("bytes that belong to no answer")
+	errUsedUp          = errors.New("the connection's worker has answered twice")
 	errUnreadInput     = errors.New("not sent: unread input on the connection")
 	errTooManyConns    = errors.New("too many connections to workers")
 )
@@ -103,7 +104,11 @@
 		if mayWrite := c.mayWrite.Swap(nil); mayWrite != nil && !(*mayWrite)() {
 			return 0, errWithdrawn
 		}
-		if c.unusable.Load() || hasUnreadInput(c.Conn) {
+		if c.unusable.Load() {
+			return 0, errUnreadInput
+		}
+		if hasUnreadInput(c.Conn) {
+			c.registry.recordSecondAnswer(c.addr)
 			return 0, errUnreadInput
 		}
 		c.awaitingAnswer.Store(true)
@@ -111,15 +116,16 @@
 	return c.Conn.Write(p)
 }
 
-// begin prepares the connection for the next request. mayWrite is called before its first byte, nil: no check.
-func (c *workerConn) begin(kind delivery.Kind, mayWrite *func() bool) {
+// begin prepares the connection for the next request, of whatever kind. It waits until a second answer to the previous attempt
+// would have arrived, so that Write detects it. If it were taken for the answer to the next request, a request that runs could
+// count as turned away, or a client could receive another request's stream. mayWrite is called before the first byte, nil: no
+// check.
+func (c *workerConn) begin(ctx context.Context, kind delivery.Kind, mayWrite *func() bool, after func(time.Duration) <-chan time.Time) {
 	c.mayWrite.Store(mayWrite)
+	c.awaitLateAnswer(ctx, after)
 	c.outbound.Begin(kind)
 }
 
-// awaitLateAnswer waits until a second answer to the previous request would have arrived, so that Write detects it.
-// If it were taken for the answer to the next request, a request that runs could count as turned away, or a client
-// could receive another request's stream.
 func (c *workerConn) awaitLateAnswer(ctx context.Context, after func(time.Duration) <-chan time.Time) {
 	wait := c.outbound.ReuseDelay()
 	if wait <= 0 {
@@ -244,6 +250,7 @@
 	for {
 		if len(c.buf) > 0 {
 			if !c.awaitingAnswer.Load() {
+				c.registry.recordSecondAnswer(c.addr)
 				return errExtraBytes
 			}
 			c.headBegun = true
@@ -335,11 +342,19 @@
 	c.outbound.Answered()
 	if extra > 0 {
 		c.buf = c.buf[:c.readyBytes]
+		c.registry.recordSecondAnswer(c.addr)
 		c.unusable.Store(true)
 		c.awaitingAnswer.Store(false)
 		return errExtraBytes
 	}
+	usedUp := c.outbound.CarriesAttempt() && c.registry.hasAnsweredTwice(c.addr)
+	if usedUp {
+		c.unusable.Store(true)
+	}
 	c.awaitingAnswer.Store(false)
+	if usedUp {
+		return errUsedUp
+	}
 	return nil
 }
 
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -226,13 +226,7 @@
 			if c, ok := i.Conn.(*workerConn); ok {
 				watch.conn.Store(c)
 				c.setWatch(watch)
-				// Reads don't wait: they have no effect and their answer is not passed on. After a call without a
-				// body there is no wait either: a second answer to it is neither a stream nor a refusal, and a
-				// connection that has just been verified must be used at once, before it can die.
-				if i.Reused && !a.Read && c.outbound.CarriesAttempt() {
-					c.awaitLateAnswer(ctx, w.after)
-				}
-				c.begin(delivery.Attempt, &a.MaySend)
+				c.begin(ctx, delivery.Attempt, &a.MaySend, w.after)
 			}
 			// Set just before the transport writes the head, because connecting may have taken long.
 			if req := outgoing.Load(); req != nil {
@@ -410,7 +404,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		reused.Store(i.Reused)
 		if c, ok := i.Conn.(*workerConn); ok {
-			c.begin(delivery.Call, nil)
+			c.begin(ctx, delivery.Call, nil, w.after)
 		}
 	}})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.Addr+path, nil)
