A stream without further events ends before its client has waited 5 s, and trailers delay nothing

Cause: the clock of a stream counted bytes, and net/http keeps what it has read while it waits for a trailer. Change: two clocks. A byte shows that a worker is alive (4 s, as before); only an event shows that its client gets on (4.5 s), here and for streams that were handed over. Time in which the client takes nothing, or in which this process was late, does not count. The body ends with its last chunk; its trailer, which nobody reads, is read afterwards, and the connection carries no request before. The stream's code moves to a file of its own. TestStallTimeoutFollowsStreamGaps makes its stream with newStream, as a literal has no due time; what it checks is the same. gRPC streams are as before: each chunk counts as an event.

--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -712,7 +712,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got := &stream{res: res, resume: true, lastRead: time.Now().Add(-time.Second), stallTimer: time.AfterFunc(time.Hour, func() { res.Body.Close() })}
+	got := newStream(res, nil, true)
+	got.lastRead = time.Now().Add(-time.Second)
 	defer got.Close()
 	got.Read(make([]byte, 64))
 	if got.longestGap < time.Second {
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -180,24 +180,31 @@
 	defer context.AfterFunc(s.receiver.cutCtx, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
 	buf, out := make([]byte, copyBufferBytes), []byte(nil)
 	s.chunk.onData = func(p []byte) { out = append(out, p...) }
+	eventDue := time.Now().Add(maxEventGap)
 	for {
-		_ = s.worker.SetReadDeadline(time.Now().Add(StreamStallTimeout))
+		_ = s.worker.SetReadDeadline(earlier(time.Now().Add(StreamStallTimeout), eventDue))
 		// This comes second, as the deadline just set may have replaced the one set by AfterFunc.
 		if s.handOverDue() && !s.handOver() {
 			return
 		}
 		n, err := s.worker.Read(buf)
 		out = out[:0]
-		_, end, chunkErr := s.chunk.feed(buf[:n])
+		_, _, chunkErr := s.chunk.feed(buf[:n])
+		events := s.events.events
 		valid, _, eventErr := s.events.feed(out)
+		now := time.Now()
+		if s.events.events > events {
+			eventDue = now.Add(maxEventGap)
+		}
 		if valid > 0 && s.writeChunk(out[:valid]) != nil {
 			return
 		}
+		eventDue = eventDue.Add(time.Since(now)) // the client took no more
 		switch {
 		case chunkErr != nil || eventErr != nil:
 			s.receiver.log.Info("stream broke off", "handed", true, "err", errors.Join(chunkErr, eventErr))
 			return
-		case end:
+		case s.chunk.dataEnded():
 			if s.events.lineBytes == 0 {
 				s.releaseID()
 				_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
@@ -206,6 +213,8 @@
 			}
 			return
 		case err != nil && s.handOverDue(): // it was interrupted for this
+		case errors.Is(err, os.ErrDeadlineExceeded) && n == 0 && hasUnreadInput(s.worker) && now.Before(eventDue.Add(stallRecheck)):
+			eventDue = later(eventDue, now.Add(stallRecheck)) // this process was late
 		case err != nil:
 			s.receiver.log.Info("stream broke off", "handed", true, "err", err)
 			return
@@ -213,6 +222,20 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // closeConns closes both connections. After a handover that failed, their sockets may also be in the queue of a process that
 // stands still, so that closing them would not end the connections.
 func (s *receivedStream) closeConns() {
--- /dev/null
+++ b/internal/httpfront/stall_test.go
@@ -0,0 +1,143 @@
+package httpfront
+
+// Streams whose workers write without an end, on a virtual clock.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanyard/internal/core"
+)
+
+// clientPatience is how long after a running worker's last event a client that still waits has lost its request.
+const clientPatience = 5 * time.Second
+
+// startStream starts a stream from a worker that answers with text, byte by byte at the given pace if endless is set, and then with
+// endless again and again.
+func startStream(t *testing.T, text, endless string, pace time.Duration) Stream {
+	t.Helper()
+	x, a := newAttempt("worker:1")
+	x.Workers.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		go func() {
+			defer there.Close()
+			if _, err := readRequest(bufio.NewReader(there)); err != nil {
+				return
+			}
+			_, err := io.WriteString(there, text)
+			for n := 0; err == nil && len(endless) > 0; n++ {
+				select {
+				case <-time.After(pace):
+				case <-t.Context().Done():
+					return
+				}
+				_, err = io.WriteString(there, endless[n%len(endless):][:1])
+			}
+			<-t.Context().Done()
+		}()
+		return &workerConn{Conn: here, openConns: &x.Workers.openConns, done: make(chan struct{}), registry: &x.Workers.conns}, nil
+	}
+	a.Deadline = time.Now().Add(time.Hour)
+	res := x.Try(t.Context(), core.Attempt(a))
+	if res.Err != nil {
+		t.Fatal(res.Err)
+	}
+	return res.Stream.(Stream)
+}
+
+// Comments, an unfinished line or an unfinished event are no events: the client must not wait for more than 5 s after the last one.
+func TestStreamWithoutFurtherEventsEnds(t *testing.T) {
+	const event, done = "data: {}\n\n", "data: [DONE]\n\n"
+	for name, c := range map[string]struct{ text, endless string }{
+		"comments":                  {chunk(event), chunk(": ping\n\n")},
+		"an unfinished line":        {chunk(event) + chunk("data: x"), chunk("y")},
+		"an event that never ends":  {chunk(event), chunk("data: x\n")},
+		"fields without data":       {chunk(event), chunk("id: 1\n\n")},
+		"comments behind the end":   {chunk(event + done), chunk(": ping\n\n")},
+		"nothing":                   {chunk(event), ""},
+		"a chunk that never starts": {chunk(event) + "1;", "x"},
+	} {
+		for _, pace := range []time.Duration{time.Millisecond, 300 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				s := startStream(t, chunkedHead+c.text, c.endless, pace)
+				defer s.Close()
+				began := time.Now()
+				_, err := io.Copy(io.Discard, s)
+				if waited := time.Since(began); err == nil || waited >= clientPatience || waited < StreamStallTimeout {
+					t.Errorf("%s, a byte each %v: ended with %v after %v", name, pace, err, waited)
+				}
+			})
+		}
+	}
+}
+
+// Time in which the client takes nothing does not count for the worker's events.
+func TestSlowClientDoesNotEndItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const event = "data: {}\n\n"
+		s := startStream(t, chunkedHead+chunk(event), chunk(event), time.Millisecond)
+		defer s.Close()
+		buffer := make([]byte, len(event))
+		for range 5 {
+			time.Sleep(2 * maxEventGap)
+			if _, err := s.Read(buffer); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// The last chunk ends the answer, whenever its trailer comes, and the events before it don't wait for the trailer either.
+func TestTrailerDelaysNoEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const events = "data: {}\n\ndata: [DONE]\n\n"
+		s := startStream(t, chunkedHead+chunk(events)+"0\r\n", "X-Trailer: x", time.Hour)
+		defer s.Close()
+		began := time.Now()
+		if text, err := io.ReadAll(s); string(text) != events || err != nil || time.Since(began) > 0 {
+			t.Errorf("%q %v after %v", text, err, time.Since(began))
+		}
+	})
+}
+
+// A connection carries no request before the trailer of the last answer has come, and the next one after that.
+func TestConnectionIsReusedBehindTrailer(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	c := &workerConn{Conn: here, done: make(chan struct{})}
+	go io.Copy(io.Discard, there)
+	if _, err := io.WriteString(c, "request"); err != nil {
+		t.Fatal(err)
+	}
+	go io.WriteString(there, chunkedHead+chunk("data: {}\n\n")+"0\r\nX: ")
+	in := bufio.NewReader(c)
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(res.Body); string(text) != "data: {}\n\n" || err != nil {
+		t.Fatalf("%q %v", text, err)
+	}
+	if _, err := io.WriteString(c, "request"); !errors.Is(err, errUnreadInput) {
+		t.Errorf("written before the trailer's end: %v", err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		io.WriteString(there, "y\r\n\r\n")
+	}()
+	go in.Peek(1) // as net/http does on idle connections
+	<-ended
+	for c.trailerPending.Load() {
+	}
+	if _, err := io.WriteString(c, "request"); err != nil {
+		t.Errorf("after the trailer: %v", err)
+	}
+}
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -55,6 +55,7 @@
 	outbound          delivery.Outbound           // of the requests on it
 	done              chan struct{}               // closed with the connection
 	unusable          atomic.Bool                 // must not be used for another request
+	trailerPending    atomic.Bool                 // the answer has ended but for its trailer
 	handOverRequested atomic.Bool                 // another process is to continue the answer
 	handOverFD        int                         // the duplicated socket, set once Read has returned errHandedOver
 	addr              string                      // of the worker
@@ -71,6 +72,7 @@
 	state              answerState
 	bodyLeft           int64 // bytes of the body still to come
 	chunks             chunkScanner
+	trailerBytes       int
 	err                error
 }
 
@@ -82,6 +84,12 @@
 	inSizedBody               // with a Content-Length
 	inChunkedBody             // the last chunk ends it
 	inBodyToClose             // the close of the connection ends it
+	inTrailer                 // of a chunked body that has been passed on
+)
+
+const (
+	emptyTrailer  = "\n\r\n" // the end of the last chunk's size line, and of the body
+	trailerBuffer = 512
 )
 
 // Close implements net.Conn.
@@ -100,6 +108,9 @@
 // Write refuses to send a request on a connection with unread input, which could be taken for its answer, and to send
 // one that is no longer wanted: the transport writes the head before it reads the body.
 func (c *workerConn) Write(p []byte) (int, error) {
+	if c.trailerPending.Load() {
+		return 0, errUnreadInput
+	}
 	if !c.awaitingAnswer.Load() {
 		if mayWrite := c.mayWrite.Swap(nil); mayWrite != nil && !(*mayWrite)() {
 			return 0, errWithdrawn
@@ -192,11 +203,17 @@
 		if c.err != nil {
 			return 0, c.err
 		}
-		if c.state == inHead {
+		switch c.state {
+		case inHead:
 			if err := c.readHead(); err != nil {
 				c.fail(err)
 			}
 			continue
+		case inTrailer:
+			if err := c.readTrailer(); err != nil {
+				c.fail(err)
+			}
+			continue
 		}
 		var n int
 		var err error
@@ -327,14 +344,52 @@
 		return n, nil
 	case inChunkedBody:
 		n, end, err := c.chunks.feed(p)
-		if end && err == nil {
-			err = c.end(len(p) - n + len(c.buf))
+		if err != nil || !c.chunks.dataEnded() {
+			return n, err
 		}
-		return n, err
+		return c.chunks.dataEnd, c.endData(p[n:], end)
 	}
 	return len(p), nil
 }
 
+// endData passes on the end of a chunked body as soon as its last chunk has come, whenever its trailer comes, which nobody reads.
+// rest was received behind what belongs to the body, and trailerEnded is whether the trailer has come.
+func (c *workerConn) endData(rest []byte, trailerEnded bool) error {
+	extra := append(bytes.Clone(rest), c.buf...)
+	c.buf = append([]byte(emptyTrailer), extra...)
+	c.readyBytes = len(emptyTrailer)
+	if trailerEnded {
+		return c.end(len(extra))
+	}
+	c.state, c.trailerBytes = inTrailer, 0
+	c.trailerPending.Store(true)
+	return nil
+}
+
+// readTrailer reads the trailer of an answer whose body has been passed on.
+func (c *workerConn) readTrailer() error {
+	if len(c.buf) == 0 {
+		c.buf = make([]byte, trailerBuffer)
+		n, err := c.receive(c.buf)
+		if c.buf = c.buf[:n]; n == 0 {
+			return err
+		}
+	}
+	n, end, err := c.chunks.feed(c.buf)
+	c.buf = c.buf[n:]
+	c.trailerBytes += n
+	switch {
+	case err != nil:
+		return err
+	case c.trailerBytes > maxAnswerHeadBytes:
+		return malformed("trailer over %d bytes", maxAnswerHeadBytes)
+	case end:
+		c.trailerPending.Store(false)
+		return c.end(len(c.buf))
+	}
+	return nil
+}
+
 // end records the end of an answer. extra is the number of bytes that were received behind it.
 func (c *workerConn) end(extra int) error {
 	c.state = inHead
@@ -364,6 +419,7 @@
 	bytesLeft int64          // of the chunk's data
 	lineBytes int            // of the current line
 	onData    func(p []byte) // receives the data, may be nil
+	dataEnd   int            // where in the bytes fed last the last chunk's size line ended, if it did
 }
 
 // chunkState is the part of a chunked body that the next byte belongs to. Its numbers are part of streamPosition.
@@ -426,7 +482,7 @@
 			}
 			s.state, s.lineBytes = chunkData, 0
 			if s.bytesLeft == 0 {
-				s.state = trailer
+				s.state, s.dataEnd = trailer, n
 			}
 		case chunkCR, chunkLF:
 			if s.state == chunkCR && b == '\r' {
@@ -452,6 +508,9 @@
 	return n, false, nil
 }
 
+// dataEnded reports whether the last chunk has come. What may follow is a trailer.
+func (s *chunkScanner) dataEnded() bool { return s.state >= trailer }
+
 func unhex(b byte) int {
 	switch {
 	case b >= '0' && b <= '9':
@@ -471,9 +530,14 @@
 	lineBytes  int    // length of the line so far
 	validName  bool   // what precedes the colon is valid
 	isComment  bool   // the line is a comment
+	hasData    bool   // the current event has a line of data
+	events     int    // events with data that are complete
 }
 
-var eventFields = []string{"data", "event", "id", "retry"}
+// dataField is the name of the lines without which nothing is an event.
+const dataField = "data"
+
+var eventFields = []string{dataField, "event", "id", "retry"}
 
 // feed processes the next bytes. It returns how many of them are valid and the position behind the last empty line.
 func (s *eventScanner) feed(p []byte) (n, blank int, err error) {
@@ -484,8 +548,13 @@
 			}
 			if s.lineBytes == 0 || s.lineBytes == 1 && string(s.namePrefix) == "\r" {
 				blank = i + 1
+				if s.hasData {
+					s.hasData, s.events = false, s.events+1
+				}
+			} else if string(s.namePrefix) == dataField {
+				s.hasData = true
 			}
-			*s = eventScanner{namePrefix: s.namePrefix[:0]}
+			*s = eventScanner{namePrefix: s.namePrefix[:0], hasData: s.hasData, events: s.events}
 			continue
 		}
 		if s.lineBytes++; s.lineBytes > maxEventBytes {
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,18 +27,15 @@
 )
 
 const (
-	stallGapFactor     = 10                      // a resumable stream has stalled after this multiple of its longest gap ...
-	minStallTimeout    = 1500 * time.Millisecond // ... but not before this
-	idleTimeoutShare   = 0.6                     // idle connections close after this share of the workers' idle timeout
-	maxIdlePerWorker   = 96
-	StreamStallTimeout = 4 * time.Second        // a stream without any data for this long has stalled
-	maxAnswerBytes     = 64 << 10               // bytes read of an answer that is not a stream
-	maxResends         = 3                      // further connections tried when the one at hand turned out to be closed
-	verifyTimeout      = 150 * time.Millisecond // for a worker to reply on a connection that a write is to use
-	writeEndTimeout    = 50 * time.Millisecond  // for the transport to tell how far a request was written that has ended
-	pathHolds          = "/v1/holds/"
-	pathStats          = "/stats"
-	headerTurnedAway   = "X-Turned-Away"
+	idleTimeoutShare = 0.6 // idle connections close after this share of the workers' idle timeout
+	maxIdlePerWorker = 96
+	maxAnswerBytes   = 64 << 10               // bytes read of an answer that is not a stream
+	maxResends       = 3                      // further connections tried when the one at hand turned out to be closed
+	verifyTimeout    = 150 * time.Millisecond // for a worker to reply on a connection that a write is to use
+	writeEndTimeout  = 50 * time.Millisecond  // for the transport to tell how far a request was written that has ended
+	pathHolds        = "/v1/holds/"
+	pathStats        = "/stats"
+	headerTurnedAway = "X-Turned-Away"
 )
 
 // Workers is the HTTP/1.1 client for workers. It implements core.Prober; an Exchange makes its attempts through it.
@@ -301,14 +297,11 @@
 
 // stream turns a streaming answer into a result once its first event is complete.
 func (w *Workers) stream(ctx context.Context, res *http.Response, conn *workerConn) core.Result {
-	s := &stream{res: res, conn: conn, resume: w.Resume}
-	s.stallTimer = time.AfterFunc(time.Hour, s.closeIfSilent)
-	s.watchFor(firstEventTimeout)
+	s := newStream(res, conn, w.Resume)
 	if err := s.readFirstEvent(); err != nil { // it broke or was malformed before its first event was complete
 		s.Close()
 		return core.Result{Status: failureStatus(ctx, err, true), NoState: true, Err: err}
 	}
-	s.stopWatching()
 	return core.Result{Stream: s}
 }
 
@@ -453,141 +446,3 @@
 	}
 	return p, nil
 }
-
-// stream is a worker's streaming answer from its first event on.
-type stream struct {
-	res        *http.Response
-	conn       *workerConn // the connection that it arrives on
-	buffered   []byte      // received but not yet passed on
-	events     eventScanner
-	stallTimer *time.Timer
-
-	silence      atomic.Int64 // after which stallTimer closes the stream, 0: it does not
-	watchedSince atomic.Int64 // since epoch
-
-	resume     bool          // Workers.Resume
-	lastRead   time.Time     // when data last arrived
-	longestGap time.Duration // the longest time between two arrivals
-}
-
-// Header returns the header of the worker's answer.
-func (s *stream) Header() http.Header { return s.res.Header }
-
-// readFirstEvent reads until the first event with valid data is complete.
-func (s *stream) readFirstEvent() error {
-	buf := make([]byte, 0, 1<<10)
-	blockStart := 0 // of blocks without data, such as comments
-	for {
-		n, err := s.res.Body.Read(buf[len(buf):cap(buf)])
-		start := len(buf)
-		buf = buf[:start+n]
-		_, blank, scanErr := s.events.feed(buf[start:])
-		if scanErr != nil {
-			return scanErr
-		}
-		if blank > 0 {
-			ok, scanErr := hasDataEvent(buf[blockStart : start+blank])
-			if scanErr != nil {
-				return scanErr
-			}
-			if blockStart = start + blank; ok {
-				s.buffered = buf
-				return nil
-			}
-		}
-		switch {
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case len(buf) >= maxEventBytes:
-			return malformed("no event in %d bytes", len(buf))
-		}
-		if cap(buf)-len(buf) < 256 {
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
-		}
-	}
-}
-
-// Read passes on what arrives as long as it is well-formed. A worker that sends nothing for stallTimeout after an event
-// is treated as gone: a machine that vanishes leaves its connections open and silent, and the client must not wait for
-// it.
-func (s *stream) Read(p []byte) (int, error) {
-	if len(s.buffered) > 0 {
-		n := copy(p, s.buffered)
-		if s.buffered = s.buffered[n:]; len(s.buffered) == 0 {
-			s.buffered = nil
-		}
-		return n, nil
-	}
-	s.watchFor(s.stallTimeout())
-	n, err := s.res.Body.Read(p)
-	s.stopWatching()
-	if now := time.Now(); n > 0 {
-		if !s.lastRead.IsZero() {
-			s.longestGap = max(s.longestGap, now.Sub(s.lastRead))
-		}
-		s.lastRead = now
-	}
-	n, _, scanErr := s.events.feed(p[:n])
-	if scanErr != nil {
-		return n, scanErr
-	}
-	if err == io.EOF && s.events.lineBytes > 0 {
-		return n, malformed("it ends inside a line")
-	}
-	return n, err
-}
-
-// watchFor has the stream closed once nothing has come for the given time. A read of the body may take longer: it returns whole
-// chunks.
-func (s *stream) watchFor(silence time.Duration) {
-	s.silence.Store(int64(silence))
-	s.watchedSince.Store(int64(time.Since(epoch)))
-	s.stallTimer.Reset(silence)
-}
-
-func (s *stream) stopWatching() {
-	s.silence.Store(0)
-	s.stallTimer.Stop()
-}
-
-// closeIfSilent closes the stream if nothing has come for as long as watchFor was told, and looks again later otherwise.
-func (s *stream) closeIfSilent() {
-	silence, latest := time.Duration(s.silence.Load()), time.Duration(s.watchedSince.Load())
-	if s.conn != nil {
-		latest = max(latest, time.Duration(s.conn.receivedAt.Load()))
-	}
-	switch left := silence - (time.Since(epoch) - latest); {
-	case silence == 0: // not watched any more
-	case left > 0:
-		s.stallTimer.Reset(left)
-	default:
-		s.res.Body.Close()
-	}
-}
-
-// stallTimeout returns how long the stream may be silent. It is short for resumable streams because a connection to a
-// healthy worker can die silently, and each second until the client requests the rest slows the whole answer down.
-func (s *stream) stallTimeout() time.Duration {
-	if !s.resume || s.longestGap == 0 {
-		return StreamStallTimeout
-	}
-	return min(max(minStallTimeout, stallGapFactor*s.longestGap), StreamStallTimeout)
-}
-
-// requestHandOver makes Read return errHandedOver before the next byte that has not arrived yet. It returns false for a stream
-// that can't be handed over, as its end is not marked by a last chunk.
-func (s *stream) requestHandOver() bool {
-	if s.conn == nil || !slices.Contains(s.res.TransferEncoding, "chunked") {
-		return false
-	}
-	s.conn.handOverRequested.Store(true)
-	return s.conn.Conn.SetReadDeadline(time.Now()) == nil
-}
-
-// Close stops the stream and closes its connection unless the stream was complete.
-func (s *stream) Close() error {
-	s.stopWatching()
-	return s.res.Body.Close()
-}
