Last answers go out however late this process is, and their connections close once they have

Callers saw: an EOF in place of a refusal, where a connection is evicted, rejected or ended by an error while the router's process is held up. Cause: a time limit of 50 ms was set before the write; held up between the two, the process found it over and never tried, and nobody looked at the error. The connection behind a handed-over stream was closed over unread requests, which resets it; a process that ended did not wait for closes. Change: the connection's close owns what its client is owed: Lingerer writes what the socket takes at once, whatever deadline is over, the rest within 0.5 s, ends the sending side, and keeps the connection for up to 3 s until the client's system has acknowledged all. What did not go out is logged ('last answer not delivered'). Streams that were handed over end the same way, and a process waits up to 0.5 s for such closes before it exits.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -430,7 +430,9 @@
 func (c *clientConn) refuseRest() error {
 	c.readsEnded = true
 	c.pipelined.Store(0) // these are counted below
-	c.refuse(c.counter.count(c.buf))
+	if owed := c.refusals(c.counter.count(c.buf)); owed != "" {
+		c.writeLast(owed)
+	}
 	return io.EOF
 }
 
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -372,11 +371,9 @@
 	return text + "\r\n"
 }
 
-// rejectConn answers a new connection with 503 and closes it. The answer fits into the socket's buffer.
+// rejectConn answers a new connection with 503 and closes it.
 func (l *clientListener) rejectConn(c net.Conn) {
-	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = io.WriteString(c, unavailableResponse(l.retryAfter, true))
-	_ = l.budgets.Close(c)
+	_ = l.budgets.Close(c, []byte(unavailableResponse(l.retryAfter, true)), l.reportLost)
 }
 
 // States of a connection, in the order in which they are evicted.
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"rowanyard/internal/delivery"
 	"rowanyard/internal/inbound"
 )
 
-// refusalWriteTimeout limits the time to write refusals before a close. They fit into a socket's buffer.
-const refusalWriteTimeout = 50 * time.Millisecond
+// lastAnswerTimeout is for a client to take the last answers on its connection, where they do not fit into the socket's buffer.
+const lastAnswerTimeout = 500 * time.Millisecond
 
 // socketState serializes reading from a connection's socket with closing it. A request of which bytes have been read is
 // answered before its connection closes, whoever closes it, and so are the requests pipelined behind it. What arrives at
@@ -100,10 +100,11 @@
 	if !first {
 		return net.ErrClosed
 	}
+	owed := ""
 	if c.answerComplete.Load() {
-		c.refusePipelined()
+		owed = c.refusals(int(c.pipelined.Swap(0)))
 	}
-	return c.release(answeredLast)
+	return c.release(answeredLast, owed)
 }
 
 // closeIfIdle closes a connection between two requests, or before the first. If bytes of a request have been read at that
@@ -111,14 +112,14 @@
 func (c *clientConn) closeIfIdle() bool {
 	closed := c.socket.closeIfAnswered()
 	if closed {
-		_ = c.release(false) // a request that comes now is not read, which a reset tells its client
+		_ = c.release(false, "") // a request that comes now is not read, which a reset tells its client
 	}
 	return closed
 }
 
 // release removes the connection from its listener and closes the socket. answered is whether an answer was written that a reset
-// must not overtake.
-func (c *clientConn) release(answered bool) error {
+// must not overtake, and owed is what the client is still to be told.
+func (c *clientConn) release(answered bool, owed string) error {
 	defer c.owner.open.End()
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
@@ -129,10 +130,14 @@
 		shutDown(c.Conn)
 		return c.Conn.Close()
 	}
-	if !answered || c.socket.isPaused() || c.inputEnded.Load() { // a paused socket is that of another process
+	if owed == "" && !answered || c.socket.isPaused() { // a paused socket is that of another process
 		return c.Conn.Close()
 	}
-	return c.owner.budgets.Close(c.Conn)
+	if c.inputEnded.Load() { // nothing can come that a close would answer with a reset
+		_, _ = delivery.WriteNow(c.Conn, []byte(owed))
+		return c.Conn.Close()
+	}
+	return c.owner.budgets.Close(c.Conn, []byte(owed), c.owner.reportLost)
 }
 
 // evict closes the connection to free its place or because the front is in standby. If a request on it has been read, even in
@@ -142,37 +147,34 @@
 	if !first {
 		return
 	}
-	refuses := unanswered || hasUnreadInput(c.Conn)
-	if refuses {
-		c.refuse(max(1, int(c.pipelined.Swap(0))))
+	owed := ""
+	if unanswered || hasUnreadInput(c.Conn) {
+		owed = c.refusals(max(1, int(c.pipelined.Swap(0))))
 	}
-	_ = c.release(refuses)
-}
-
-// refusePipelined refuses the requests that were read behind the current one. Nothing of them has been sent to a worker.
-func (c *clientConn) refusePipelined() {
-	c.refuse(int(c.pipelined.Swap(0)))
+	_ = c.release(unanswered, owed)
 }
 
-// refuse writes refusals for the given number of requests.
-func (c *clientConn) refuse(requests int) { writeRefusals(c.Conn, c.owner.retryAfter, requests) }
+// refusals returns the text of refusals for the given number of requests.
+func (c *clientConn) refusals(requests int) string { return refusalsText(c.owner.retryAfter, requests) }
 
 // writeLast writes an answer to a client whose connection is about to be closed, which the answer announces.
 func (c *clientConn) writeLast(answer string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = io.WriteString(c.Conn, answer)
+	if err := delivery.Write(c.Conn, []byte(answer), lastAnswerTimeout); err != nil {
+		c.owner.reportLost(err)
+	}
 }
 
-// writeRefusals writes refusals for the given number of requests to a client whose connection is about to be closed, which
-// the last of them announces.
-func writeRefusals(client net.Conn, retryAfter string, requests int) {
+// refusalsText returns the text of refusals for the given number of requests, the last of which announces the close.
+func refusalsText(retryAfter string, requests int) string {
 	if requests <= 0 {
-		return
+		return ""
 	}
-	_ = client.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = io.WriteString(client, strings.Repeat(unavailableResponse(retryAfter, false), requests-1)+unavailableResponse(retryAfter, true))
+	return strings.Repeat(unavailableResponse(retryAfter, false), requests-1) + unavailableResponse(retryAfter, true)
 }
 
+// reportLost logs that a client did not get the last answer on its connection.
+func (l *clientListener) reportLost(err error) { l.log.Info("last answer not delivered", "err", err) }
+
 // announceClose sets or removes "Connection: close" in the header of an answer. A connection ends with the answer to
 // a chunked request. While the listener is closing, it also ends with any other answer unless more requests have been
 // read, which are answered first.
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -126,11 +126,20 @@
 	if streamReceiver != nil {
 		streamReceiver.stop(ctx)
 	}
+	f.awaitLastAnswers(ctx)
 	if successor != "" {
 		f.log.Info("streams handed over", "streams", f.handedOver.Load())
 	}
 }
 
+// awaitLastAnswers waits for connections that are being closed, so that the end of the process resets none whose client has not
+// had its last answer.
+func (f *Front) awaitLastAnswers(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, lastAnswerTimeout)
+	defer stop()
+	f.Input.Linger.Wait(ctx)
+}
+
 func (f *Front) stopClosingInactive() {
 	f.mu.Lock()
 	f.ending = false
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"rowanyard/internal/acceptretry"
+	"rowanyard/internal/delivery"
+	"rowanyard/internal/inbound"
 	"rowanyard/internal/inflight"
 )
 
@@ -46,6 +48,14 @@
 	return nil
 }
 
+// budgets returns the accounts of what clients send, nil if there are none.
+func (h *StreamReceiver) budgets() *inbound.Budgets {
+	if h.front == nil {
+		return nil
+	}
+	return h.front.Input
+}
+
 // stop stops receiving streams and waits until the running ones end or ctx is done.
 func (h *StreamReceiver) stop(ctx context.Context) {
 	h.listener.Close()
@@ -164,6 +174,7 @@
 	chunk          chunkScanner
 	events         eventScanner
 	pipelined      atomic.Int32 // requests that were read behind the one being answered
+	clientClosed   bool         // the answer is complete, and the connection to the client is being closed
 	handOverFailed bool         // it goes on here, or breaks if clients request the rest
 }
 
@@ -209,7 +220,7 @@
 				s.releaseID()
 				_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
 				_, _ = s.client.Write([]byte("0\r\n\r\n"))
-				writeRefusals(s.client, s.receiver.retryAfter, int(s.pipelined.Load()))
+				s.closeClient(refusalsText(s.receiver.retryAfter, int(s.pipelined.Load())))
 			}
 			return
 		case err != nil && s.handOverDue(): // it was interrupted for this
@@ -236,10 +247,23 @@
 	return a
 }
 
+// closeClient ends the connection to the client behind a complete answer, and refuses the requests that were read behind it.
+func (s *receivedStream) closeClient(refusals string) {
+	if !s.handOverFailed {
+		_ = s.receiver.budgets().Close(s.client, []byte(refusals), func(err error) { s.receiver.log.Info("last answer not delivered", "err", err) })
+		s.clientClosed = true
+		return
+	}
+	_ = delivery.Write(s.client, []byte(refusals), lastAnswerTimeout)
+}
+
 // closeConns closes both connections. After a handover that failed, their sockets may also be in the queue of a process that
 // stands still, so that closing them would not end the connections.
 func (s *receivedStream) closeConns() {
 	for _, c := range []net.Conn{s.worker, s.client} {
+		if c == s.client && s.clientClosed {
+			continue
+		}
 		if s.handOverFailed {
 			shutDown(c)
 		}
--- a/internal/inbound/budgets.go
+++ b/internal/inbound/budgets.go
@@ -45,12 +45,12 @@
 	return b.Memory.NewHolding()
 }
 
-// Close closes a connection whose last answer was written, see Lingerer.
-func (b *Budgets) Close(c net.Conn) error {
+// Close writes the last answer to a client, if there is one, and closes its connection, see Lingerer.
+func (b *Budgets) Close(c net.Conn, last []byte, lost func(error)) error {
 	if b == nil {
-		return unbudgeted.Close(c)
+		return unbudgeted.Close(c, last, lost)
 	}
-	return b.Linger.Close(c)
+	return b.Linger.Close(c, last, lost)
 }
 
 // unbudgeted closes connections that are on no account.
--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -1,57 +1,87 @@
 package inbound
 
 import (
+	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"rowanyard/internal/delivery"
+	"rowanyard/internal/inflight"
 )
 
 const (
-	lingerTime   = 500 * time.Millisecond // for a client to read its last answer and close
-	lingerBuffer = 4 << 10
+	lingerTime    = 500 * time.Millisecond // for a client to read its last answer and close
+	maxLingerTime = 3 * time.Second        // for a client's system to acknowledge its last answer
+	lingerBuffer  = 4 << 10
+)
+
+var (
+	errNotAcknowledged = errors.New("the client's system has not acknowledged it")
+	errCrowdedOut      = errors.New("too many connections linger")
 )
 
-// Lingerer closes connections whose last answer was written: a close over unread input, or over input that comes right after
-// it, sends a reset, which could overtake the answer. It ends the sending side and discards what still comes until the client
-// has closed too. At most so many connections linger at once: one more ends the oldest.
+// Lingerer closes connections to clients, and writes the last answer that one is owed: a close over unread input, or over input
+// that comes right after it, sends a reset, which could overtake the answer. It ends the sending side and discards what still
+// comes until the client has closed too. At most so many connections linger at once: one more ends the oldest.
 type Lingerer struct {
 	Work *Work
 	Max  int
 
 	mu    sync.Mutex
 	conns []*lingering // the oldest first
-	open  sync.WaitGroup
+	open  inflight.Counter
 }
 
 // lingering is a connection that lingers.
 type lingering struct {
 	net.Conn
 	client *Client
+	unsent []byte // of the last answer
+	lost   func(error)
 }
 
-// Close closes a connection, in the background where something may still come.
-func (l *Lingerer) Close(c net.Conn) error {
-	half, ok := c.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+// halfCloser is a connection whose sending side can be ended by itself.
+type halfCloser interface{ CloseWrite() error }
+
+// Close writes the last answer to a client, if there is one, and closes its connection, in the background where something may
+// still come. lost is called if the answer did not go out; it may be nil where nothing is written.
+func (l *Lingerer) Close(c net.Conn, last []byte, lost func(error)) error {
+	if lost == nil {
+		lost = func(error) {}
+	}
+	unsent, err := delivery.WriteNow(c, last)
+	if err != nil {
+		lost(err)
 		return c.Close()
 	}
-	entry := &lingering{c, l.Work.NewClient()}
+	half, ok := c.(halfCloser)
+	if !ok || len(unsent) == 0 && half.CloseWrite() != nil {
+		return c.Close()
+	}
+	entry := &lingering{Conn: c, client: l.Work.NewClient(), unsent: unsent, lost: lost}
 	entry.client.Order = Last
 	l.add(entry)
-	l.open.Go(func() {
+	l.open.Begin()
+	go func() {
+		defer l.open.End()
 		defer l.remove(entry)
-		entry.discard()
-	})
+		entry.finish()
+	}()
 	return nil
 }
 
-// Wait waits until no connection lingers.
-func (l *Lingerer) Wait() { l.open.Wait() }
+// Wait waits until no connection lingers. It returns false if ctx ends first.
+func (l *Lingerer) Wait(ctx context.Context) bool { return l.open.Wait(ctx) }
 
 func (l *Lingerer) add(c *lingering) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns = append(l.conns, c); len(l.conns) > l.Max {
+		if l.conns[0].isOwed() {
+			l.conns[0].lost(errCrowdedOut)
+		}
 		l.conns[0].end()
 		l.conns = l.conns[1:]
 	}
@@ -75,10 +105,36 @@
 	c.Conn.Close()
 }
 
-// discard reads until the client has closed or lingerTime is over.
-func (c *lingering) discard() {
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	defer time.AfterFunc(lingerTime, c.client.Close).Stop()
+// isOwed reports whether the client's system has not acknowledged all of the last answer.
+func (c *lingering) isOwed() bool {
+	bytes, ok := delivery.Unacknowledged(c.Conn)
+	return ok && bytes > 1 // the end of the sending side counts as one
+}
+
+// finish writes what is left of the last answer, and waits for the client.
+func (c *lingering) finish() {
+	if len(c.unsent) > 0 {
+		if err := delivery.Write(c.Conn, c.unsent, lingerTime); err != nil {
+			c.lost(err)
+			return
+		}
+		_ = c.Conn.(halfCloser).CloseWrite()
+	}
+	c.discard(lingerTime)
+	if !c.isOwed() {
+		return
+	}
+	c.discard(maxLingerTime - lingerTime)
+	if c.isOwed() {
+		c.lost(errNotAcknowledged)
+	}
+}
+
+// discard reads until the client has closed or the time is over.
+func (c *lingering) discard(limit time.Duration) {
+	c.client.Interrupt(false)
+	_ = c.SetReadDeadline(time.Now().Add(limit))
+	defer time.AfterFunc(limit, func() { c.client.Interrupt(true) }).Stop()
 	reader := NewReader(c.Conn, c.client)
 	buffer := make([]byte, lingerBuffer)
 	for {
--- a/internal/inbound/work_test.go
+++ b/internal/inbound/work_test.go
@@ -170,7 +170,7 @@
 			t.Fatal(err)
 		}
 		conn.Write([]byte(answer))
-		linger.Close(conn)
+		linger.Close(conn, nil, nil)
 		client.Write(make([]byte, 100))
 		text := make([]byte, 99)
 		if n, err := client.Read(text); string(text[:n]) != answer {
@@ -178,7 +178,7 @@
 		}
 		client.Close()
 	}
-	linger.Wait()
+	linger.Wait(t.Context())
 }
 
 // What all hold together stays under the limit, and what was released can't be held again.
