An answer that this process reads late is not its worker's fault

Cause: a read deadline of 1 s for the rest of a head was set before the read; where the process was held up between the two, the read failed although the answer was there, and the worker was blamed for a spoilt answer.

--- a/internal/httpfront/lastanswer_test.go
+++ b/internal/httpfront/lastanswer_test.go
@@ -104,3 +104,46 @@
 	}
 	t.Fatal("nothing was read")
 }
+
+// lateReader is a connection whose process is held up each time it sets a read deadline: that is over when the read follows.
+type lateReader struct{ *net.TCPConn }
+
+func (c lateReader) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		t = time.Now().Add(-time.Millisecond)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// A worker whose answer has come in time is not to blame if this process reads it late.
+func TestAnswerThatWasReadLateIsNotMalformed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	here, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer here.Close()
+	there, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	c := &workerConn{Conn: lateReader{here.(*net.TCPConn)}, done: make(chan struct{})}
+	if _, err := io.WriteString(c, "request"); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(there, turnedAwayAnswer)
+	text := make([]byte, len(turnedAwayAnswer)/2)
+	if _, err := io.ReadFull(here, text); err != nil { // the first half of the head has been read already
+		t.Fatal(err)
+	}
+	c.buf, c.headBegun = text, true
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%+v %v", res, err)
+	}
+}
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -244,9 +244,14 @@
 	return 0, nil
 }
 
-// receive reads from the socket.
+// receive reads from the socket. A deadline that is over does not count for input that was there: this process was late, not the
+// worker.
 func (c *workerConn) receive(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.handOverRequested.Load() && hasUnreadInput(c.Conn) {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // it does not wait
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.receivedAt.Store(int64(time.Since(epoch)))
 	}
