The soak stalls workers in requests, spoils answers, and checks texts, ends and last events

Cause: the soak judged what a client gets and when an attempt begins; it had no worker that stops in the middle of a request, no answer without an end, no second answer, and looked at no text. New rules: no request reaches a worker whole 0.1 s after its end, each text was made for its request, no client waits 5 s behind the last event.

--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -61,6 +61,7 @@
 	lossy      int // number of connections that have lost bytes to a silence
 	stalled    int // number of open connections that have waited for the end of a stall
 	onStall    *sync.Cond
+	drawAnswer func() SpoiltAnswer // nil: answers pass unchanged
 }
 
 // session is a client's connection and the corresponding one to the target.
@@ -303,8 +304,11 @@
 // forward copies one direction until it ends. A silence drops the bytes, and the end of the connection too.
 func (s *session) forward(to, from *net.TCPConn, fromClient bool) {
 	buffer := make([]byte, bufferBytes)
+	out := io.Writer(to)
 	if fromClient {
 		buffer = buffer[:s.proxy.readSize]
+	} else {
+		out = &answerSpoiler{proxy: s.proxy, client: to}
 	}
 	for {
 		if fromClient {
@@ -312,7 +316,7 @@
 		}
 		n, err := from.Read(buffer)
 		if pass := s.countPassing(n, fromClient); pass > 0 {
-			if _, err := to.Write(buffer[:pass]); err != nil {
+			if _, err := out.Write(buffer[:pass]); err != nil {
 				s.reset()
 				return
 			}
--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -19,6 +19,9 @@
 	RuleDrainRespected       Rule = "a draining worker gets no new attempts"
 	RuleDisconnectRespected  Rule = "no attempt starts for a client that has disconnected"
 	RuleDeadlinePropagated   Rule = "a worker is sent no more time than the client has left"
+	RuleEndHeeded            Rule = "no request reaches a worker whole after its end"
+	RuleOwnText              Rule = "a response holds what a worker made for its request"
+	RuleStreamEnds           Rule = "no client waits 5 s after the last event"
 	RuleReadyInTime          Rule = "a router process is ready in time"
 	RuleResourcesBounded     Rule = "memory and descriptors stay within their limits"
 	RuleNoCrash              Rule = "no router process exits by itself"
@@ -32,6 +35,8 @@
 	idleHoldSlack       = 350 * time.Millisecond // 0.3 s for the router's own limits and 0.05 s for sockets
 	drainGrace          = 550 * time.Millisecond
 	disconnectGrace     = 100 * time.Millisecond
+	endGrace            = 100 * time.Millisecond // for a request that is on its way as it ends
+	clientPatience      = 5 * time.Second        // after the last event
 	deadlineSlack       = 150 * time.Millisecond
 	discoveryDelayLimit = 6 * time.Second // a router must have received a change after this, whatever state discovery is in
 	moveTime            = 4 * time.Second // after SIGHUP, what the new agent has counts as told
@@ -84,6 +89,7 @@
 	discoveryOutages []discoveryOutage
 	agentSilences    []agentSilence
 	workerPauses     []workerPause
+	networkDelays    []workerPause
 	standstills      []standstill
 	routers          []*router
 	eventsByID       map[string][]event
@@ -91,7 +97,7 @@
 
 func (d *deployment) checkInvariants() Report {
 	rec := &records{events: d.ledger.snapshot(), requests: d.requestLog.finished, healthChanges: d.healthChanges,
-		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, standstills: d.standstills, routers: d.routers,
+		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, networkDelays: d.networkDelays, standstills: d.standstills, routers: d.routers,
 		eventsByID: make(map[string][]event)}
 	for _, e := range rec.events {
 		rec.eventsByID[e.id] = append(rec.eventsByID[e.id], e)
@@ -117,7 +123,7 @@
 		}
 	}
 	for _, rule := range []func(*records) []Violation{checkAnswers, checkEffects, checkStates, checkDrains, checkDisconnects,
-		checkDeadlines, checkRouters} {
+		checkDeadlines, checkEnds, checkTexts, checkRouters} {
 		report.Violations = append(report.Violations, rule(rec)...)
 	}
 	for i := range report.Violations {
@@ -364,7 +370,7 @@
 }
 
 // sentBeforePause returns when an attempt arrived at its worker's machine: when the worker took it or, if the worker paused
-// in between, when its router sent it.
+// or stalled in between, when its router sent it. For drains, a send counts from its first byte.
 func (rec *records) sentBeforePause(s *clientRequest, arrived event) time.Time {
 	var sent time.Time
 	for _, at := range rec.sendTimes(s, arrived.host) {
@@ -372,7 +378,13 @@
 			sent = later(sent, at)
 		}
 	}
-	for _, p := range rec.workerPauses {
+	pauses := slices.Clone(rec.workerPauses)
+	for _, p := range rec.networkDelays {
+		if p.stalled {
+			pauses = append(pauses, p)
+		}
+	}
+	for _, p := range pauses {
 		paused := p.host == arrived.host && p.from.Before(arrived.at) && p.to.After(sent)
 		if paused && !sent.IsZero() {
 			return sent
@@ -481,6 +493,61 @@
 	return found
 }
 
+// checkEnds finds requests that reached a worker whole after their client had left or had its final answer.
+func checkEnds(rec *records) (found []Violation) {
+	for _, s := range rec.requests {
+		end := s.end()
+		for _, e := range rec.eventsByID[s.id] {
+			late := e.at.Sub(end)
+			if e.kind != attemptArrived || s.hasReturnedBy(e.at) || late <= endGrace+clockSlack || rec.mayHaveArrivedBefore(s, e) {
+				continue
+			}
+			found = append(found, Violation{Rule: RuleEndHeeded, RequestID: s.id,
+				Message: fmt.Sprintf("%s (%d bytes) reached %s %v after its end", s.id, s.promptBytes, e.host, late)})
+		}
+	}
+	return found
+}
+
+// end returns when nothing more was to be sent for a request: its client had left, or had its answer or the beginning of it.
+func (s *clientRequest) end() time.Time {
+	switch {
+	case !s.answeredAt.IsZero():
+		return s.answeredAt
+	case !s.disconnectedAt.IsZero():
+		return s.disconnectedAt
+	}
+	return s.ended
+}
+
+// mayHaveArrivedBefore reports whether a request may have reached its worker's machine before the worker took it: as the worker
+// paused or, where the machine's buffers hold all of it, as the network kept it.
+func (rec *records) mayHaveArrivedBefore(s *clientRequest, arrived event) bool {
+	delays := rec.workerPauses
+	if s.promptBytes == 0 {
+		delays = slices.Concat(delays, rec.networkDelays)
+	}
+	return slices.ContainsFunc(delays, func(p workerPause) bool {
+		return p.host == arrived.host && p.from.Before(arrived.at) && p.to.After(s.at)
+	})
+}
+
+// checkTexts finds responses with another request's text, and such whose client waited too long behind the last event.
+func checkTexts(rec *records) (found []Violation) {
+	for _, s := range rec.requests {
+		if s.foreignEvents > 0 {
+			found = append(found, Violation{Rule: RuleOwnText, RequestID: s.id, Message: fmt.Sprintf("%s: %d events of another request", s.id, s.foreignEvents)})
+		}
+		if s.lastEventAt.IsZero() || s.readSlowly || !s.disconnectedAt.IsZero() {
+			continue
+		}
+		if waited := s.ended.Sub(s.lastEventAt); waited > clientPatience {
+			found = append(found, Violation{Rule: RuleStreamEnds, RequestID: s.id, Message: fmt.Sprintf("%s: waited %v behind its last event", s.id, waited)})
+		}
+	}
+	return found
+}
+
 // forbiddenLogTexts maps texts that no router may log to the invariant that each of them shows to be violated.
 var forbiddenLogTexts = map[string]Rule{
 	"invariant violated": RuleNoInvariantViolation, "panicked": RuleNoInvariantViolation, "msg=overdue": RuleAnsweredOnce,
--- a/internal/scale/soak/client.go
+++ b/internal/scale/soak/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,6 +24,11 @@
 	ended             time.Time     // when the last byte of its response came or its connection ended
 	status            int           // 0: no response came
 	complete          bool          // the response was received to its end
+	answeredAt        time.Time     // when the head of its response came; zero: none came
+	lastEventAt       time.Time     // when the last event of its response came; zero: none came
+	foreignEvents     int           // events of the response with another request's text
+	readSlowly        bool          // by its client
+	promptBytes       int           // length of its prompt
 	disconnectedAt    time.Time     // when its client closed the connection early; zero: it did not
 	returnedAt        time.Time     // when that client sent it again under its id; zero: it did not
 	reusedConn        bool          // its connection had served an earlier request
@@ -41,6 +47,9 @@
 	slowReadShare   = 0.05
 	slowReadBytes   = 100
 	slowReadPause   = 20 * time.Millisecond
+	largeShare      = 0.15   // of the requests have a long prompt
+	minLargePrompt  = 30_000 // bytes, more than a stalled worker's machine holds
+	maxLargePrompt  = 240_000
 	meanThinkTime   = 60 * time.Millisecond
 	disconnectShare = 0.08
 	responseTimeout = 12 * time.Second // a client closes its connection if no response has come by then
@@ -121,6 +130,9 @@
 func (c *client) nextRequest(n int) *clientRequest {
 	s := &clientRequest{id: fmt.Sprintf("r%dc%dn%d", c.router, c.number, n), router: c.router, nonIdempotent: c.random.IntN(2) == 0}
 	s.firstTokenTimeout = 1500*time.Millisecond + time.Duration(c.random.Int64N(int64(1400*time.Millisecond)))
+	if c.random.Float64() < largeShare {
+		s.promptBytes = minLargePrompt + c.random.IntN(maxLargePrompt-minLargePrompt)
+	}
 	return s
 }
 
@@ -174,12 +186,12 @@
 		c.close()
 		return
 	}
-	s.status = res.StatusCode
+	s.status, s.answeredAt = res.StatusCode, time.Now()
 	body := io.Reader(res.Body)
-	if c.random.Float64() < slowReadShare {
+	if s.readSlowly = c.random.Float64() < slowReadShare; s.readSlowly {
 		body = slowReader{body}
 	}
-	_, err = io.Copy(io.Discard, body)
+	err = s.readEvents(body)
 	s.complete = err == nil
 	c.requestsOnConn++
 	if err != nil || res.Close {
@@ -187,13 +199,38 @@
 	}
 }
 
+// contentField is in each event that holds text.
+const contentField = `"content":"`
+
+// readEvents reads the response to its end and notes when its last event came, and whether all texts were made for this request.
+func (s *clientRequest) readEvents(body io.Reader) error {
+	own := contentField + s.id + "."
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadString('\n')
+		if strings.HasPrefix(line, "data:") {
+			s.lastEventAt = time.Now()
+			if strings.Contains(line, contentField) && !strings.Contains(line, own) {
+				s.foreignEvents++
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // rawRequest returns the request as written to the wire.
 func (c *client) rawRequest(s *clientRequest) string {
 	class := "draft-reply"
 	if s.nonIdempotent {
 		class = "send-message"
 	}
-	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"user","content":"%s"}]}`, s.id)
+	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}]}`,
+		strings.Repeat("x", s.promptBytes), s.id)
 	var request strings.Builder
 	fmt.Fprintf(&request,
 		"POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Type: application/json\r\nX-Txn: %s\r\nX-Lane: %s\r\n", s.id, class)
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -61,6 +61,7 @@
 	discoveryOutages []discoveryOutage
 	agentSilences    []agentSilence
 	workerPauses     []workerPause
+	networkDelays    []workerPause // in which a worker's network may have kept what had reached its machine
 	standstills      []standstill
 
 	lateness time.Duration // by which this process was woken too late, at most
@@ -73,6 +74,7 @@
 type workerPause struct {
 	host     string
 	from, to time.Time
+	stalled  bool // its machine had taken the beginning of what it was sent
 }
 
 // discoveryOutage is a period in which a router received nothing from discovery.
@@ -197,7 +199,7 @@
 	d.mu.Unlock()
 	address := strings.TrimSpace(line)
 	if w.proxy == nil {
-		w.proxy, err = faultproxy.Start(address)
+		w.proxy, err = faultproxy.StartSmall(address)
 		return err
 	}
 	w.proxy.Retarget(address)
@@ -262,6 +264,10 @@
 		d.signalGroup(d.plan.group(f), f.Duration, signalDeaf, signalHearing)
 	case WorkersStandStill:
 		d.standStill(f)
+	case WorkersStall:
+		d.stallGroup(f)
+	case AnswersSpoilt:
+		d.spoilAnswers(f)
 	case ReadsBroken:
 		breaking, deaf := d.plan.splitReaders(f)
 		var both sync.WaitGroup
@@ -290,7 +296,7 @@
 		d.discoveryOutages = append(d.discoveryOutages, discoveryOutage{r.number, time.Now(), time.Now().Add(discoveryDelayLimit)})
 		d.mu.Unlock()
 	case RouterTerminated:
-		r.terminate()
+		r.terminate(f.Amount)
 		_ = r.start(d.plan.Routers)
 	case RouterKilled:
 		r.kill()
@@ -312,11 +318,7 @@
 }
 
 func (d *deployment) injectIntoWorker(f Fault, w *worker) {
-	injectNetworkFault := func(set func()) {
-		set()
-		time.Sleep(f.Duration)
-		w.proxy.Set(faultproxy.None)
-	}
+	injectNetworkFault := func(set func()) { d.delayNetwork(w, f, set) }
 	switch f.Kind {
 	case WorkerSilent:
 		injectNetworkFault(func() { w.proxy.SetAfter(faultproxy.Silent, f.Amount, 0) })
@@ -349,6 +351,40 @@
 	}
 }
 
+// stallGroup has many workers read no more, each in the middle of what it is sent.
+func (d *deployment) stallGroup(f Fault) {
+	var all sync.WaitGroup
+	for _, i := range d.plan.group(f) {
+		w := d.workers[i]
+		all.Go(func() {
+			d.delayNetwork(w, f, func() { w.proxy.SetAfter(faultproxy.Stalled, f.bytesBeforeStall(), 0) })
+		})
+	}
+	all.Wait()
+}
+
+// spoilAnswers has some answers of all workers come twice, or have no end.
+func (d *deployment) spoilAnswers(f Fault) {
+	for i, w := range d.workers {
+		w.proxy.SetAnswers(f.answerFaults(i))
+	}
+	time.Sleep(f.Duration)
+	for _, w := range d.workers {
+		w.proxy.SetAnswers(nil)
+	}
+}
+
+// delayNetwork sets a fault of a worker's network for its duration.
+func (d *deployment) delayNetwork(w *worker, f Fault, set func()) {
+	from := time.Now()
+	set()
+	time.Sleep(f.Duration)
+	w.proxy.Set(faultproxy.None)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.networkDelays = append(d.networkDelays, workerPause{w.host, from, time.Now(), f.Kind == WorkersStall})
+}
+
 // standStill stops all workers shortly after the writers have ceased to take attempts, so that states are held as they stop. The
 // writers take attempts again some time after all run.
 func (d *deployment) standStill(f Fault) {
@@ -385,7 +421,7 @@
 func (d *deployment) recordPause(w *worker, from time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.workerPauses = append(d.workerPauses, workerPause{w.host, from, time.Now()})
+	d.workerPauses = append(d.workerPauses, workerPause{host: w.host, from: from, to: time.Now()})
 }
 
 func (d *deployment) signalWorker(w *worker, s os.Signal) {
--- a/internal/scale/soak/router.go
+++ b/internal/scale/soak/router.go
@@ -229,10 +229,16 @@
 }
 
 // terminate ends the process as the platform does: SIGTERM while clients still connect for a while, then SIGKILL at the
-// earliest time at which the platform may send it.
-func (r *router) terminate() {
+// earliest time at which the platform may send it. As many SIGHUP as reloads says come in the series with SIGTERM, before and after.
+func (r *router) terminate(reloads int) {
+	if reloads > 0 {
+		r.reload(reloads)
+	}
 	p := r.recordExit(processExit{terminatedAt: time.Now()})
 	_ = p.Signal(syscall.SIGTERM)
+	for range reloads {
+		_ = p.Signal(syscall.SIGHUP)
+	}
 	time.Sleep(admitAfterTerm)
 	r.setAdmitting(false)
 	_ = p.Signal(syscall.SIGTERM) // the platform may repeat signals
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
+	"rowanyard/internal/scale/faultproxy"
 	"rowanyard/internal/scale/flood"
 )
 
@@ -44,6 +46,8 @@
 	IdleConnections   FaultKind = "crowd"               // many idle connections to one router
 	Flood             FaultKind = "flood"               // clients of one router send at full speed
 	SlowCrowd         FaultKind = "slow crowd"          // many clients of one router are slow
+	WorkersStall      FaultKind = "workers stall"       // many at once read no more in the middle of requests, with small receive buffers
+	AnswersSpoilt     FaultKind = "answers spoilt"      // some answers of all workers come twice, or have no end
 )
 
 // Fault is one fault of a schedule. It begins at At, counted from the start of the workload, and lasts for Duration.
@@ -74,8 +78,14 @@
 	Clients          int // at each router
 }
 
-// DefaultPlan returns the plan of a run of some seconds with a few dozen processes.
+// smallEvery is how many seeds there are to one whose run has a handful of processes, with as many clients.
+const smallEvery = 4
+
+// DefaultPlan returns the plan of a run of some seconds with a few dozen processes or, for some seeds, a handful.
 func DefaultPlan(seed uint64) Plan {
+	if seed%smallEvery == 0 {
+		return Plan{Seed: seed, Routers: 2, Readers: 3, Writers: 2, Length: 9 * time.Second, Faults: 10, Clients: 12}
+	}
 	return Plan{Seed: seed, Routers: 4, Readers: 10, Writers: 14, Length: 9 * time.Second, Faults: 26, Clients: 6}
 }
 
@@ -94,6 +104,15 @@
 	maxFloodConnections   = 60
 	maxCrowdConnections   = 150
 	hourSeconds           = 3600
+	faultsOfEnds          = 2 // of each kind, in each schedule
+	minSpoiltShare        = 5 // percent of the answers
+	maxSpoiltShare        = 40
+	endlessOneIn          = 6 // spoilt answers have no end, the others come twice
+	minSecondAnswerDelay  = 3 * time.Millisecond
+	maxSecondAnswerDelay  = 20 * time.Millisecond
+	minBytesBeforeStall   = 100
+	maxBytesBeforeStall   = 4000
+	maxSignalsAtEnd       = 4
 )
 
 var workerFaults = []FaultKind{WorkerSilent, WorkerSilent, WorkerUnreachable, WorkerUnreachable, WorkerRefuses, WorkerDelayed,
@@ -118,6 +137,9 @@
 	for _, kind := range []FaultKind{Flood, SlowCrowd} {
 		drawn = append(drawn, p.randomClientFault(kind))
 	}
+	for n := range faultsOfEnds {
+		drawn = append(drawn, p.randomFaultOfEnds(WorkersStall, n), p.randomFaultOfEnds(AnswersSpoilt, n))
+	}
 	for range p.Faults {
 		drawn = append(drawn, p.randomFault(random))
 	}
@@ -156,6 +178,8 @@
 		f.Amount = int(time.Duration(random.Int64N(int64(maxConnectDelay))).Milliseconds())
 	case RouterReloads:
 		f.Amount = 1 + random.IntN(5)
+	case RouterTerminated:
+		f.Amount = random.IntN(maxSignalsAtEnd)
 	case ClockStepped:
 		f.Amount = []int{-hourSeconds, hourSeconds, -5, 5, -1, 1}[random.IntN(6)]
 	}
@@ -194,6 +218,42 @@
 	return f
 }
 
+// randomFaultOfEnds draws the n-th fault of a kind that matters where requests end. It has a source of its own, like a client fault.
+func (p Plan) randomFaultOfEnds(kind FaultKind, n int) Fault {
+	random := rand.New(rand.NewPCG(p.Seed, uint64(len(kind))<<8|uint64(n)))
+	f := Fault{Kind: kind, Choice: random.Uint64(), Amount: minShare + random.IntN(maxShare-minShare),
+		Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))}
+	if kind == AnswersSpoilt {
+		f.Amount = minSpoiltShare + random.IntN(maxSpoiltShare-minSpoiltShare)
+	}
+	f.At = faultFreeStart + time.Duration(random.Int64N(int64(p.Length-faultFreeStart)))
+	return f
+}
+
+// bytesBeforeStall returns how much of a request the workers take before they stall.
+func (f Fault) bytesBeforeStall() int {
+	return minBytesBeforeStall + int(f.Choice%(maxBytesBeforeStall-minBytesBeforeStall))
+}
+
+// answerFaults returns the source of the faults of one worker's answers.
+func (f Fault) answerFaults(worker int) func() faultproxy.SpoiltAnswer {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(f.Choice, uint64(worker)))
+	return func() faultproxy.SpoiltAnswer {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.IntN(100) >= f.Amount {
+			return faultproxy.SpoiltAnswer{}
+		}
+		kind := faultproxy.SecondAnswers[random.IntN(len(faultproxy.SecondAnswers))]
+		if random.IntN(endlessOneIn) == 0 {
+			kind = faultproxy.EndlessAnswers[random.IntN(len(faultproxy.EndlessAnswers))]
+		}
+		return faultproxy.SpoiltAnswer{Fault: kind,
+			Delay: minSecondAnswerDelay + time.Duration(random.Int64N(int64(maxSecondAnswerDelay-minSecondAnswerDelay)))}
+	}
+}
+
 // clientKind returns what the clients of a flood or a crowd do.
 func (f Fault) clientKind() flood.Kind {
 	kinds := flood.Floods()
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,13 +31,32 @@
 
 // Random, overlapping faults in real processes violate no invariant.
 func TestSoakSeeds(t *testing.T) {
+	var seeds []uint64
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		seeds = append(seeds, seed)
+	}
+	runSeeds(t, seeds, nil)
+}
+
+// endRules are the rules on how requests end.
+var endRules = []Rule{RuleAnsweredOnce, RuleAtMostOnce, RuleDisconnectRespected, RuleEndHeeded, RuleOwnText, RuleStreamEnds, RuleNoCrash, RuleNoInvariantViolation}
+
+// Each request ends once and in time, with what was made for it, and nothing of it goes on, beside random faults. Two of the seeds
+// have a handful of processes.
+func TestSoakOfRequestEnds(t *testing.T) {
+	runSeeds(t, []uint64{7002, 7008, 7012}, endRules)
+}
+
+// runSeeds runs the plans of the seeds and fails the test for violations of the rules, or of all rules if there are none.
+func runSeeds(t *testing.T, seeds []uint64, rules []Rule) {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "rowanyard")
 	if err := clockstep.Build(*routerSource, path); err != nil {
 		t.Fatal(err)
 	}
 	slots := make(chan bool, *parallelRuns)
 	var runs sync.WaitGroup
-	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+	for _, seed := range seeds {
 		slots <- true
 		runs.Go(func() {
 			defer func() { <-slots }()
@@ -45,6 +65,9 @@
 				t.Errorf("seed %d: %v", seed, err)
 				return
 			}
+			report.Violations = slices.DeleteFunc(report.Violations, func(v Violation) bool {
+				return rules != nil && !slices.Contains(rules, v.Rule)
+			})
 			if len(report.Violations) > 0 || report.Served == 0 {
 				t.Errorf("%s", report)
 			} else {
@@ -76,7 +99,7 @@
 // newRecords returns the records of one successful request at a router that keeps running.
 func newRecords() *records {
 	s := &clientRequest{id: "a", nonIdempotent: true, at: recordTime(0), firstTokenTimeout: time.Second,
-		ended: recordTime(500), status: 200, complete: true, incarnations: [2]int{1, 1}}
+		ended: recordTime(500), answeredAt: recordTime(300), lastEventAt: recordTime(500), status: 200, complete: true, incarnations: [2]int{1, 1}}
 	return &records{requests: []*clientRequest{s}, routers: []*router{{processes: 1}}, eventsByID: make(map[string][]event)}
 }
 
@@ -102,7 +125,7 @@
 // Each check detects a violation of its invariant, and none reports one for a run without faults.
 func TestChecksDetectViolations(t *testing.T) {
 	rules := map[Rule]func(*records) []Violation{RuleAnsweredOnce: checkAnswers, RuleAtMostOnce: checkEffects, RuleStateReleased: checkStates, RuleDrainRespected: checkDrains,
-		RuleDisconnectRespected: checkDisconnects, RuleDeadlinePropagated: checkDeadlines, RuleNoInvariantViolation: checkRouters, RuleNoCrash: checkRouters, RuleReadyInTime: checkRouters, RuleResourcesBounded: checkRouters}
+		RuleDisconnectRespected: checkDisconnects, RuleDeadlinePropagated: checkDeadlines, RuleEndHeeded: checkEnds, RuleOwnText: checkTexts, RuleStreamEnds: checkTexts, RuleNoInvariantViolation: checkRouters, RuleNoCrash: checkRouters, RuleReadyInTime: checkRouters, RuleResourcesBounded: checkRouters}
 	for rule, check := range rules {
 		if found := check(newRecords().withEvents(normalEvents()...)); len(found) > 0 {
 			t.Errorf("%s: found %v", rule, found)
@@ -140,6 +163,19 @@
 			rec.events[0].deadline = 2 * time.Second
 			rec.eventsByID["a"][0].deadline = 2 * time.Second
 		}},
+		"a request that reaches a worker after its client left": {RuleEndHeeded, func(rec *records) {
+			rec.requests[0].disconnectedAt, rec.requests[0].answeredAt = recordTime(-400), time.Time{}
+		}},
+		"a large request that a network has kept": {RuleEndHeeded, func(rec *records) {
+			rec.requests[0].disconnectedAt, rec.requests[0].answeredAt = recordTime(-400), time.Time{}
+			rec.requests[0].promptBytes = minLargePrompt
+			rec.networkDelays = []workerPause{{"r", recordTime(-500), recordTime(500), false}, {"w", recordTime(-500), recordTime(500), false}}
+		}},
+		"a copy that arrives behind the answer": {RuleEndHeeded, func(rec *records) { rec.eventsByID["a"][3].at = recordTime(600) }},
+		"another request's text":                {RuleOwnText, func(rec *records) { rec.requests[0].foreignEvents = 1 }},
+		"a wait without events": {RuleStreamEnds, func(rec *records) {
+			rec.requests[0].lastEventAt, rec.requests[0].ended = recordTime(300), recordTime(5400)
+		}},
 		"invariant violation in the log": {RuleNoInvariantViolation,
 			func(rec *records) { rec.routers[0].Write([]byte("msg=\"invariant violated\" step=closing\n")) }},
 		"a process that exits by itself": {RuleNoCrash, func(rec *records) { rec.routers[0].crashed = []string{"exit status 2"} }},
--- a/internal/scale/soak/worker.go
+++ b/internal/scale/soak/worker.go
@@ -126,6 +126,9 @@
 // Release implements standin.StateStore.
 func (r *ledgerClient) Release(id string) bool { return r.call(callRelease, id, 0) }
 
+// tokenText returns the text of a token, which tells which request it was made for.
+func tokenText(id string, i int) string { return fmt.Sprintf("%s.%d ", id, i) }
+
 // IsWorker reports whether this process was started as a worker of a run.
 func IsWorker() bool { return os.Getenv(envLedger) != "" }
 
@@ -145,7 +148,7 @@
 	go gate.handleSignals(signals)
 	r := &ledgerClient{client: client, host: os.Getenv(envHost), incarnation: incarnation}
 	fleet, err := standin.Start(standin.Options{OnlyKind: os.Getenv(envKind), Tokens: responseTokens, TokenInterval: tokenInterval,
-		ReadDuration: readDuration, StateStore: r, AdmitAttempt: gate.admit, FaultFor: gate.fault,
+		ReadDuration: readDuration, TokenText: tokenText, StateStore: r, AdmitAttempt: gate.admit, FaultFor: gate.fault,
 		OnAttemptTimeout: func(id, _ string, left time.Duration) { r.call(callDeadline, id, left) },
 		OnEvent: func(what, id, _, _ string) {
 			if what == callArrived || what == callEnded || what == callEffect {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -51,6 +51,8 @@
 	Tokens        int           // tokens of each answer
 	TokenInterval time.Duration // time between two tokens
 	ReadDuration  time.Duration // time that a read takes
+	// TokenText returns the text of the i-th token of a request's answer over HTTP. If it is nil, it is the token's number.
+	TokenText func(id string, i int) string
 	// FaultFor returns the fault of the n-th call, counted from 0, of a stage ("read" or "write") for a message. If it is
 	// nil, there are no faults.
 	FaultFor func(stage, message string, n int) Fault
@@ -450,7 +452,7 @@
 		if last {
 			finish = `"stop"`
 		}
-		fmt.Fprintf(rw, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"},\"finish_reason\":%s}]}\n\n", i, finish)
+		fmt.Fprintf(rw, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n", w.tokenText(c.id, i), finish)
 		return http.NewResponseController(rw).Flush()
 	})
 	if !complete {
@@ -461,6 +463,14 @@
 		"\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n", w.fleet.Tokens)
 }
 
+// tokenText returns the text of the i-th token of a request's answer.
+func (w *worker) tokenText(id string, i int) string {
+	if w.fleet.TokenText != nil {
+		return w.fleet.TokenText(id, i)
+	}
+	return fmt.Sprintf("t%d ", i)
+}
+
 // resetConnection closes the connection with a TCP reset.
 func resetConnection(rw http.ResponseWriter) {
 	c, _, err := http.NewResponseController(rw).Hijack()
