--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"rowanyard/decide"
+	"rowanyard/internal/patience"
 )
 
 // Limits on the course of a request.
@@ -296,7 +297,7 @@
 	}
 	c.log.Debug("send", "id", req.ID, "txn", req.Label, "n", n, "why", req.latestReason(), "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", uptime.Milliseconds())
 	ctx, stop := context.WithCancelCause(context.Background())
-	timer := time.AfterFunc(remaining, func() { stop(ErrTimedOut) })
+	stopTimer := patience.AfterFunc(remaining, func() { stop(ErrTimedOut) })
 	a.cancel = stop
 	go func() {
 		defer func() {
@@ -306,7 +307,7 @@
 			}
 		}()
 		res := req.transport.Try(ctx, a.Attempt)
-		if !timer.Stop() && res.Status == 0 { // the deadline passed as the first token came: the stream is closed already
+		if !stopTimer() && res.Status == 0 { // the deadline passed as the first token came: the stream is closed already
 			res = Result{Status: decide.Cancelled}
 		}
 		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), ErrTimedOut) {
--- a/internal/delivery/outbound.go
+++ b/internal/delivery/outbound.go
@@ -41,6 +41,7 @@
 	kind            Kind
 	resetsOnClose   bool      // as the socket is set
 	attemptAnswered time.Time // when the last answer to an attempt ended
+	takenBack       bool      // the connection has ended before an attempt had arrived
 }
 
 // Begin records that a request is written next. The bytes of an attempt are discarded where the connection ends before they have
@@ -103,11 +104,22 @@
 func (o *Outbound) End() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.resetsOnClose && o.Progress() == Arrived {
+	switch {
+	case !o.resetsOnClose:
+	case o.Progress() == Arrived:
 		o.setReset(false)
+	default:
+		o.takenBack = true
 	}
 }
 
+// TakenBack reports whether the connection has ended before the attempt under way was known to have arrived.
+func (o *Outbound) TakenBack() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.takenBack
+}
+
 // setReset sets what the end of the connection does. The caller holds o.mu.
 func (o *Outbound) setReset(on bool) {
 	if o.resetsOnClose != on && setResetOnClose(o.Conn, on) == nil {
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -263,6 +263,9 @@
 		if reused.Load() {
 			err = fmt.Errorf("after %v idle: %w", time.Duration(idle.Load()).Round(time.Millisecond), err)
 		}
+		if conn := watch.conn.Load(); conn != nil && conn.outbound.TakenBack() {
+			err = fmt.Errorf("taken back, not known to have arrived: %w", err)
+		}
 		unsent = errors.Is(err, errUnreadInput) || reused.Load() && !body.readBegun.Load()
 		// A worker that began to answer has fetched the state, even if the answer then broke.
 		status := failureStatus(ctx, err, mayHaveRun)
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -51,3 +51,20 @@
 		}
 	}
 }
+
+// A function whose wait was stopped is not called, and one that was called can't be stopped.
+func TestStoppedFunctionIsNotCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		called := 0
+		stop := AfterFunc(time.Second, func() { called++ })
+		time.Sleep(time.Second / 2)
+		if !stop() {
+			t.Error("not stopped in time")
+		}
+		stop = AfterFunc(time.Second, func() { called++ })
+		time.Sleep(time.Minute)
+		if stop() || called != 1 {
+			t.Errorf("called %d times, want 1", called)
+		}
+	})
+}
