The soak's new checks: what a busy harness keeps of small requests is not the router's

Changed: a small request that was sent before its end may be taken up to 1 s later; one that is sent after its end counts as before (a case for it is added); large ones are judged as before. Where a worker kept attempts, the first send counts. A delayed connection is kept for its delay beyond the fault's end.

--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -36,6 +36,7 @@
 	drainGrace          = 550 * time.Millisecond
 	disconnectGrace     = 100 * time.Millisecond
 	endGrace            = 100 * time.Millisecond // for a request that is on its way as it ends
+	smallRequestSlack   = time.Second            // for one that fits into the buffers of busy proxies and workers
 	clientPatience      = 5 * time.Second        // after the last event
 	deadlineSlack       = 150 * time.Millisecond
 	discoveryDelayLimit = 6 * time.Second // a router must have received a change after this, whatever state discovery is in
@@ -483,6 +484,9 @@
 				if at.Before(e.at) {
 					elapsed = at.Sub(s.at)
 				}
+				if rec.wasKept(s, e) { // it may be the first one sent
+					break
+				}
 			}
 			if e.deadline > s.firstTokenTimeout-elapsed+deadlineSlack+clockSlack {
 				found = append(found, Violation{Rule: RuleDeadlinePropagated, RequestID: s.id,
@@ -521,8 +525,19 @@
 }
 
 // mayHaveArrivedBefore reports whether a request may have reached its worker's machine before the worker took it: as the worker
-// paused or, where the machine's buffers hold all of it, as the network kept it.
+// paused or, where the machine's buffers hold all of it, as the network kept it or its processes were busy.
 func (rec *records) mayHaveArrivedBefore(s *clientRequest, arrived event) bool {
+	if rec.wasKept(s, arrived) {
+		return true
+	}
+	sends := rec.sendTimes(s, arrived.host)
+	sentBefore := len(sends) > 0 && sends[0].Before(s.end())
+	return s.promptBytes == 0 && sentBefore && arrived.at.Sub(s.end()) <= smallRequestSlack
+}
+
+// wasKept reports whether an attempt may have waited at its worker's machine: the worker paused or, where the machine's buffers hold
+// all of the request, its network kept it.
+func (rec *records) wasKept(s *clientRequest, arrived event) bool {
 	delays := rec.workerPauses
 	if s.promptBytes == 0 {
 		delays = slices.Concat(delays, rec.networkDelays)
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -382,7 +382,11 @@
 	w.proxy.Set(faultproxy.None)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.networkDelays = append(d.networkDelays, workerPause{w.host, from, time.Now(), f.Kind == WorkersStall})
+	to := time.Now()
+	if f.Kind == WorkerDelayed { // the last connection that it has delayed is served then
+		to = to.Add(time.Duration(f.Amount) * time.Millisecond)
+	}
+	d.networkDelays = append(d.networkDelays, workerPause{w.host, from, to, f.Kind == WorkersStall})
 }
 
 // standStill stops all workers shortly after the writers have ceased to take attempts, so that states are held as they stop. The
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -172,7 +172,11 @@
 			rec.networkDelays = []workerPause{{"r", recordTime(-500), recordTime(500), false}, {"w", recordTime(-500), recordTime(500), false}}
 		}},
 		"a copy that arrives behind the answer": {RuleEndHeeded, func(rec *records) { rec.eventsByID["a"][3].at = recordTime(600) }},
-		"another request's text":                {RuleOwnText, func(rec *records) { rec.requests[0].foreignEvents = 1 }},
+		"a small request that was sent after its end": {RuleEndHeeded, func(rec *records) {
+			rec.requests[0].disconnectedAt, rec.requests[0].answeredAt = recordTime(-400), time.Time{}
+			rec.routers[0].log = []logLine{{recordTime(0), "msg=send txn=a n=0 worker=r ", recordTime(0)}}
+		}},
+		"another request's text": {RuleOwnText, func(rec *records) { rec.requests[0].foreignEvents = 1 }},
 		"a wait without events": {RuleStreamEnds, func(rec *records) {
 			rec.requests[0].lastEventAt, rec.requests[0].ended = recordTime(300), recordTime(5400)
 		}},
