Reads and writes have connections of their own: a read behind a stream need not wait

Change: reads and writes use different connections, so that a second answer to a stream can't come on a read's. A call uses those that its worker has; the check before a write uses the write's.

--- a/internal/httpfront/idleconns.go
+++ b/internal/httpfront/idleconns.go
@@ -15,8 +15,8 @@
 // connRegistry holds the open connections by worker address. The zero value is empty.
 type connRegistry struct {
 	mu            sync.Mutex
-	byAddr        map[string]map[*workerConn]bool
-	answeredTwice map[string]time.Time // when a second answer last came from an address
+	byAddr        map[string]map[*workerConn]bool // whether it is for reads
+	answeredTwice map[string]time.Time            // when a second answer last came from an address
 }
 
 // recordSecondAnswer notes that a second answer came from an address.
@@ -57,7 +57,28 @@
 	if r.byAddr[c.addr] == nil {
 		r.byAddr[c.addr] = make(map[*workerConn]bool)
 	}
-	r.byAddr[c.addr][c] = true
+	r.byAddr[c.addr][c] = false
+}
+
+// setForReads notes that a connection is for reads.
+func (r *connRegistry) setForReads(c *workerConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, open := r.byAddr[c.addr][c]; open {
+		r.byAddr[c.addr][c] = true
+	}
+}
+
+// hasForReads reports whether there is an open connection for reads to an address.
+func (r *connRegistry) hasForReads(addr string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, forReads := range r.byAddr[addr] {
+		if forReads {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *connRegistry) remove(c *workerConn) {
--- a/internal/httpfront/secondanswer_test.go
+++ b/internal/httpfront/secondanswer_test.go
@@ -163,3 +163,29 @@
 		t.Errorf("%d connections for %d attempts", n, attempts)
 	}
 }
+
+// Behind a stream a read does not wait, and no second answer to the stream can reach it: reads and writes have connections of their
+// own.
+func TestReadBehindStreamDoesNotWait(t *testing.T) {
+	addr, conns := rawWorker(t, func(n int) string {
+		if n == 0 {
+			return streamAnswer
+		}
+		return readAnswer
+	})
+	x, a := newAttempt(addr)
+	x.Workers.after = func(time.Duration) <-chan time.Time {
+		t.Error("waited")
+		return time.After(0)
+	}
+	res := x.Try(context.Background(), a)
+	if res.Status != 0 {
+		t.Fatalf("%+v", res)
+	}
+	io.ReadAll(res.Stream.(Stream))
+	res.Stream.(Stream).Close()
+	a.Read = true
+	if res := x.Try(context.Background(), a); res.Status != decide.Read || conns.Load() != 2 {
+		t.Errorf("%+v on %d connections", res, conns.Load())
+	}
+}
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -40,7 +40,10 @@
 
 // Workers is the HTTP/1.1 client for workers. It implements core.Prober; an Exchange makes its attempts through it.
 type Workers struct {
-	transport *http.Transport
+	// Reads and writes have connections of their own, so that a second answer of one stage is none of the other's, and a read need
+	// not wait for one behind a stream.
+	transport *http.Transport // of writes and, for workers without a connection for reads, of calls
+	reads     *http.Transport
 	log       *slog.Logger
 	// Resume is set if clients request the rest of a broken stream. Stalled streams are then broken off sooner. It
 	// must not change once an attempt has been made.
@@ -62,7 +65,7 @@
 	w.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if w.openConns.Add(1) > w.connLimit.Load() { // close idle connections to stay within the descriptor limit
-				w.transport.CloseIdleConnections()
+				w.closeIdleConnections()
 				if w.openConns.Load() > w.connLimit.Load() {
 					w.openConns.Add(-1)
 					return nil, errTooManyConns
@@ -81,6 +84,8 @@
 		IdleConnTimeout: time.Duration(idleTimeoutShare * float64(connIdle)),
 		WriteBufferSize: 8 << 10, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
+	w.reads = w.transport.Clone()
+	w.reads.DialContext = w.dialForRead
 	return w
 }
 
@@ -88,10 +93,33 @@
 func (w *Workers) Limit(maxConns int) {
 	w.connLimit.Store(int64(maxConns))
 	if w.openConns.Load() > int64(maxConns) {
-		w.transport.CloseIdleConnections()
+		w.closeIdleConnections()
 	}
 }
 
+// closeIdleConnections closes the connections that carry no request.
+func (w *Workers) closeIdleConnections() {
+	w.transport.CloseIdleConnections()
+	w.reads.CloseIdleConnections()
+}
+
+// dialForRead opens a connection for reads.
+func (w *Workers) dialForRead(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := w.transport.DialContext(ctx, network, addr)
+	if conn, ok := c.(*workerConn); ok {
+		w.conns.setForReads(conn)
+	}
+	return c, err
+}
+
+// transportForCall returns the transport with connections to a worker.
+func (w *Workers) transportForCall(addr string) *http.Transport {
+	if w.conns.hasForReads(addr) {
+		return w.reads
+	}
+	return w.transport
+}
+
 // Exchange carries one client request to workers over HTTP. It implements core.Transport.
 type Exchange struct {
 	Workers     *Workers
@@ -198,7 +226,7 @@
 	}
 	verifyCtx, stop := patience.WithTimeout(ctx, verifyTimeout, errNoReply)
 	defer stop()
-	if _, err := w.call(verifyCtx, http.MethodGet, a.To, pathStats); err != nil && !errors.Is(err, errBadStatus) {
+	if _, err := w.call(verifyCtx, w.transport, http.MethodGet, a.To, pathStats); err != nil && !errors.Is(err, errBadStatus) {
 		return errors.Join(err, context.Cause(verifyCtx))
 	}
 	return nil
@@ -248,7 +276,11 @@
 		}
 	}
 	outgoing.Store(req)
-	res, err := w.transport.RoundTrip(req)
+	transport := w.transport
+	if a.Read {
+		transport = w.reads
+	}
+	res, err := transport.RoundTrip(req)
 	if err != nil {
 		watch.finish()
 		if body.readBegun.Load() { // the connection was closed, which ends a write that waits
@@ -376,13 +408,13 @@
 
 // Release asks a worker to release all state that is held for the request with this id, at whichever worker.
 func (w *Workers) Release(ctx context.Context, at core.Worker, id string) error {
-	_, err := w.call(ctx, http.MethodDelete, at, pathHolds+id)
+	_, err := w.call(ctx, w.transportForCall(at.Addr), http.MethodDelete, at, pathHolds+id)
 	return err
 }
 
 // Probe implements core.Prober. An answer that can't be parsed still shows that the worker is alive.
 func (w *Workers) Probe(ctx context.Context, at core.Worker) (decide.Probed, error) {
-	text, err := w.call(ctx, http.MethodGet, at, pathStats)
+	text, err := w.call(ctx, w.transportForCall(at.Addr), http.MethodGet, at, pathStats)
 	if err != nil {
 		return decide.Probed{}, err
 	}
@@ -394,8 +426,8 @@
 	return p, nil
 }
 
-// call makes a request without a body and returns the body of the answer.
-func (w *Workers) call(ctx context.Context, method string, at core.Worker, path string) ([]byte, error) {
+// call makes a request without a body over transport and returns the body of the answer.
+func (w *Workers) call(ctx context.Context, transport *http.Transport, method string, at core.Worker, path string) ([]byte, error) {
 	var reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		reused.Store(i.Reused)
@@ -407,7 +439,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := w.transport.RoundTrip(req)
+	res, err := transport.RoundTrip(req)
 	if err != nil {
 		if reused.Load() && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			w.conns.closeIdle(at.Addr)
