--- a/internal/httpfront/cancel.go
+++ b/internal/httpfront/cancel.go
@@ -40,7 +40,7 @@
 
 // cancelRequest cancels the request. The half-close signals the cancellation to the worker while the worker's close
 // or late answer can still be read; the transport reports the close as the request's error. A request of which a part has not
-// left this process or this machine never counts as executed: closing its connection takes that part back.
+// left this machine has not arrived: closing its connection takes that part back.
 func (w *attemptWatch) cancelRequest() {
 	conn := w.conn.Load()
 	if w.cancelGrace > 0 && conn != nil && w.sent.Load() && conn.outbound.Progress() != delivery.Unsent && conn.closeWriteFor(w) {
