Connections that are being closed get a tenth of the descriptors

Now a tenth of the descriptors is theirs; of more, the oldest whose client has its answer is ended first.

--- a/cmd/rowanyard/budget.go
+++ b/cmd/rowanyard/budget.go
@@ -21,6 +21,7 @@
 	discoveryLineShare    = 0.04 // of the memory limit, for one line from discovery
 	clientDescriptorShare = 0.45 // of the descriptors, split equally between the enabled fronts
 	workerDescriptorShare = 0.4  // of the descriptors
+	lingerDescriptorShare = 0.1  // of the descriptors, for connections that are being closed
 	reservedDescriptors   = 40   // at least, for discovery, operators, logs, the runtime and rejected connections
 	defaultMemoryMB       = 192
 	defaultDescriptors    = 1024
@@ -55,6 +56,7 @@
 	debug.SetMemoryLimit(int64(gcLimitShare * share * b.memoryBytes))
 	b.workers.Limit(max(1, int(workerDescriptorShare*b.usableDescriptors(share))))
 	b.front.Limit(b.clientsPerFront(share))
+	b.front.Input.Linger.SetLimit(int(lingerDescriptorShare * b.usableDescriptors(share)))
 	b.front.Input.Memory.SetLimit(int64(inputMemoryShare * share * b.memoryBytes))
 }
 
--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rowanyard/internal/delivery"
@@ -24,12 +26,14 @@
 
 // Lingerer closes connections to clients, and writes the last answer that one is owed: a close over unread input, or over input
 // that comes right after it, sends a reset, which could overtake the answer. It ends the sending side and discards what still
-// comes until the client has closed too. At most so many connections linger at once: one more ends the oldest.
+// comes until the client has closed too. At most so many connections linger at once: one more ends the oldest whose client has
+// its answer, or else the oldest.
 type Lingerer struct {
 	Work *Work
-	Max  int
+	Max  int // as the memory allows
 
 	mu    sync.Mutex
+	limit int // as the descriptors allow, 0: any number
 	conns []*lingering // the oldest first
 	open  inflight.Counter
 }
@@ -37,9 +41,10 @@
 // lingering is a connection that lingers.
 type lingering struct {
 	net.Conn
-	client *Client
-	unsent []byte // of the last answer
-	lost   func(error)
+	client    *Client
+	unsent    []byte      // of the last answer
+	unwritten atomic.Bool // the system has not taken all of it
+	lost      func(error)
 }
 
 // halfCloser is a connection whose sending side can be ended by itself.
@@ -62,6 +67,7 @@
 	}
 	entry := &lingering{Conn: c, client: l.Work.NewClient(), unsent: unsent, lost: lost}
 	entry.client.Order = Last
+	entry.unwritten.Store(len(unsent) > 0)
 	l.add(entry)
 	l.open.Begin()
 	go func() {
@@ -75,16 +81,34 @@
 // Wait waits until no connection lingers. It returns false if ctx ends first.
 func (l *Lingerer) Wait(ctx context.Context) bool { return l.open.Wait(ctx) }
 
+// SetLimit sets how many connections may linger for their descriptors.
+func (l *Lingerer) SetLimit(descriptors int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = max(1, descriptors)
+}
+
 func (l *Lingerer) add(c *lingering) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conns = append(l.conns, c); len(l.conns) > l.Max {
-		if l.conns[0].isOwed() {
-			l.conns[0].lost(errCrowdedOut)
-		}
-		l.conns[0].end()
-		l.conns = l.conns[1:]
+	most := l.Max
+	if l.limit > 0 {
+		most = min(most, l.limit)
+	}
+	for l.conns = append(l.conns, c); len(l.conns) > most; {
+		l.endOne()
+	}
+}
+
+// endOne ends the oldest connection whose client has its answer, or else the oldest. The caller holds l.mu.
+func (l *Lingerer) endOne() {
+	i := slices.IndexFunc(l.conns, func(c *lingering) bool { return !c.isOwed() })
+	if i < 0 {
+		i = 0
+		l.conns[i].lost(errCrowdedOut)
 	}
+	l.conns[i].end()
+	l.conns = slices.Delete(l.conns, i, i+1)
 }
 
 func (l *Lingerer) remove(c *lingering) {
@@ -108,7 +132,7 @@
 // isOwed reports whether the client's system has not acknowledged all of the last answer.
 func (c *lingering) isOwed() bool {
 	bytes, ok := delivery.Unacknowledged(c.Conn)
-	return ok && bytes > 1 // the end of the sending side counts as one
+	return c.unwritten.Load() || ok && bytes > 1 // the end of the sending side counts as one
 }
 
 // finish writes what is left of the last answer, and waits for the client.
@@ -118,6 +142,7 @@
 			c.lost(err)
 			return
 		}
+		c.unwritten.Store(false)
 		_ = c.Conn.(halfCloser).CloseWrite()
 	}
 	c.discard(lingerTime)
--- a/internal/inbound/work_test.go
+++ b/internal/inbound/work_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -181,6 +182,48 @@
 	linger.Wait(t.Context())
 }
 
+// Of more connections than may linger, those are ended first whose clients have their answers, and none holds its descriptor any
+// more.
+func TestLingeringConnectionsAreBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	linger := &Lingerer{Work: NewWork(1), Max: 100}
+	const most, lingerers = 3, 10
+	linger.SetLimit(most)
+	pair := func() (client, conn net.Conn) {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		if conn, err = l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		return client, conn
+	}
+	const huge = 64 << 20
+	owed, conn := pair()
+	lost := make(chan error, 1)
+	linger.Close(conn, make([]byte, huge), func(err error) { lost <- err }) // its client does not read it yet
+	for range lingerers {
+		_, conn := pair()
+		linger.Close(conn, []byte("answer"), func(err error) { t.Error("a client that has its answer:", err) })
+	}
+	linger.mu.Lock()
+	n := len(linger.conns)
+	linger.mu.Unlock()
+	if n > most {
+		t.Errorf("%d connections linger", n)
+	}
+	read, err := io.Copy(io.Discard, owed)
+	if read != huge || err != nil || len(lost) > 0 {
+		t.Errorf("%d bytes of the answer that was owed, %v", read, err)
+	}
+}
+
 // What all hold together stays under the limit, and what was released can't be held again.
 func TestMemoryIsBounded(t *testing.T) {
 	m := &Memory{}
