--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -33,7 +33,7 @@
 	Max  int // as the memory allows
 
 	mu    sync.Mutex
-	limit int // as the descriptors allow, 0: any number
+	limit int          // as the descriptors allow, 0: any number
 	conns []*lingering // the oldest first
 	open  inflight.Counter
 }
