--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -530,8 +530,8 @@
 	if rec.wasKept(s, arrived) {
 		return true
 	}
-	sends := rec.sendTimes(s, arrived.host)
-	sentBefore := len(sends) > 0 && sends[0].Before(s.end())
+	sends := rec.sendLines(s, arrived.host)
+	sentBefore := len(sends) > 0 && sends[0].logged.Before(s.end())
 	return s.promptBytes == 0 && sentBefore && arrived.at.Sub(s.end()) <= smallRequestSlack
 }
 
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -174,7 +174,7 @@
 		"a copy that arrives behind the answer": {RuleEndHeeded, func(rec *records) { rec.eventsByID["a"][3].at = recordTime(600) }},
 		"a small request that was sent after its end": {RuleEndHeeded, func(rec *records) {
 			rec.requests[0].disconnectedAt, rec.requests[0].answeredAt = recordTime(-400), time.Time{}
-			rec.routers[0].log = []logLine{{recordTime(0), "msg=send txn=a n=0 worker=r ", recordTime(0)}}
+			rec.routers[0].log = []logLine{{recordTime(0), "msg=send txn=a n=0 worker=r ", recordTime(-399)}}
 		}},
 		"another request's text": {RuleOwnText, func(rec *records) { rec.requests[0].foreignEvents = 1 }},
 		"a wait without events": {RuleStreamEnds, func(rec *records) {
