--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,16 +56,16 @@
 // A function whose wait was stopped is not called, and one that was called can't be stopped.
 func TestStoppedFunctionIsNotCalled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		called := 0
-		stop := AfterFunc(time.Second, func() { called++ })
+		var called atomic.Int64
+		stop := AfterFunc(time.Second, func() { called.Add(1) })
 		time.Sleep(time.Second / 2)
 		if !stop() {
 			t.Error("not stopped in time")
 		}
-		stop = AfterFunc(time.Second, func() { called++ })
+		stop = AfterFunc(time.Second, func() { called.Add(1) })
 		time.Sleep(time.Minute)
-		if stop() || called != 1 {
-			t.Errorf("called %d times, want 1", called)
+		if stop() || called.Load() != 1 {
+			t.Errorf("called %d times, want 1", called.Load())
 		}
 	})
 }
