Fast comments and many small writes do not keep a stream without events

Found on reading the change again: where a worker's comments come so fast that there is always input, a handed-over stream was given another 0.1 s again and again, and in both kinds of streams each write to the client moved the due time of the next event, also one that the client took at once. Change: the 0.1 s is given once between two events; a write counts as a wait for the client from 10 ms on. Evidence: TestHandedOverStreamWithoutFurtherEventsEnds (the client still waited after 5 s) and TestWritesToClientDoNotKeepStreamWithoutEvents (6.4 s) failed before, and pass.

--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -191,7 +191,7 @@
 	defer context.AfterFunc(s.receiver.cutCtx, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
 	buf, out := make([]byte, copyBufferBytes), []byte(nil)
 	s.chunk.onData = func(p []byte) { out = append(out, p...) }
-	eventDue := time.Now().Add(maxEventGap)
+	eventDue, rechecked := time.Now().Add(maxEventGap), false
 	for {
 		_ = s.worker.SetReadDeadline(earlier(time.Now().Add(StreamStallTimeout), eventDue))
 		// This comes second, as the deadline just set may have replaced the one set by AfterFunc.
@@ -205,12 +205,12 @@
 		valid, _, eventErr := s.events.feed(out)
 		now := time.Now()
 		if s.events.events > events {
-			eventDue = now.Add(maxEventGap)
+			eventDue, rechecked = now.Add(maxEventGap), false
 		}
 		if valid > 0 && s.writeChunk(out[:valid]) != nil {
 			return
 		}
-		eventDue = eventDue.Add(time.Since(now)) // the client took no more
+		eventDue = eventDue.Add(clientWait(now))
 		switch {
 		case chunkErr != nil || eventErr != nil:
 			s.receiver.log.Info("stream broke off", "handed", true, "err", errors.Join(chunkErr, eventErr))
@@ -224,8 +224,9 @@
 			}
 			return
 		case err != nil && s.handOverDue(): // it was interrupted for this
-		case errors.Is(err, os.ErrDeadlineExceeded) && n == 0 && hasUnreadInput(s.worker) && now.Before(eventDue.Add(stallRecheck)):
-			eventDue = later(eventDue, now.Add(stallRecheck)) // this process was late
+		case errors.Is(err, os.ErrDeadlineExceeded) && !rechecked && hasUnreadInput(s.worker): // this process was late
+			rechecked = true
+			eventDue = later(eventDue, now.Add(stallRecheck))
 		case err != nil:
 			s.receiver.log.Info("stream broke off", "handed", true, "err", err)
 			return
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,6 +95,21 @@
 	})
 }
 
+// Writes that the client takes without a wait count, however many there are.
+func TestWritesToClientDoNotKeepStreamWithoutEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startStream(t, chunkedHead+chunk("data: {}\n\n"), chunk(": ping\n\n"), time.Millisecond)
+		defer s.Close()
+		began, err := time.Now(), error(nil)
+		for buffer := make([]byte, copyBufferBytes); err == nil; time.Sleep(minClientWait / 2) {
+			_, err = s.Read(buffer)
+		}
+		if waited := time.Since(began); waited >= clientPatience {
+			t.Errorf("ended with %v after %v", err, waited)
+		}
+	})
+}
+
 // The last chunk ends the answer, whenever its trailer comes, and the events before it don't wait for the trailer either.
 func TestTrailerDelaysNoEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -141,3 +157,40 @@
 		t.Errorf("after the trailer: %v", err)
 	}
 }
+
+// tcpPair returns both ends of a connection.
+func tcpPair(t *testing.T) (here, there net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if here, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if there, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { here.Close(); there.Close() })
+	return here, there
+}
+
+// A stream that was handed over ends too, also where its worker's comments come so fast that there is always input.
+func TestHandedOverStreamWithoutFurtherEventsEnds(t *testing.T) {
+	t.Parallel()
+	client, clientSide := tcpPair(t)
+	worker, workerSide := tcpPair(t)
+	s := &receivedStream{receiver: &StreamReceiver{log: discardLogger, cutCtx: context.Background()}, client: clientSide, worker: workerSide, releaseID: func() {}}
+	go s.run()
+	go func() {
+		_, err := io.WriteString(worker, chunk("data: {}\n\n"))
+		for err == nil {
+			_, err = io.WriteString(worker, chunk(": ping\n\n"))
+		}
+	}()
+	_ = client.SetReadDeadline(time.Now().Add(clientPatience))
+	if _, err := io.Copy(io.Discard, client); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the client still waits after %v", clientPatience)
+	}
+}
--- a/internal/httpfront/stream.go
+++ b/internal/httpfront/stream.go
@@ -22,6 +22,8 @@
 	stallRecheck = 100 * time.Millisecond
 	// heldUpTolerance is by how much a timer may be late before this process counts as late.
 	heldUpTolerance = 10 * time.Millisecond
+	// minClientWait is how long a write to a client must take to count as a wait for that client.
+	minClientWait = 10 * time.Millisecond
 )
 
 // noEventDue is a time that does not come.
@@ -137,13 +139,21 @@
 	return n, err
 }
 
-// excludeClient keeps the time since the last Read, in which the client took no more, from counting for the worker.
+// excludeClient keeps the time since the last Read from counting for the worker where the client took no more in it.
 func (s *stream) excludeClient() {
 	if !s.readEnded.IsZero() {
-		s.eventDue.Add(int64(time.Since(s.readEnded)))
+		s.eventDue.Add(int64(clientWait(s.readEnded)))
 	}
 }
 
+// clientWait returns the time since began, in which a client was written to, if that was a wait for the client, and 0 otherwise.
+func clientWait(began time.Time) time.Duration {
+	if took := time.Since(began); took >= minClientWait {
+		return took
+	}
+	return 0
+}
+
 // watchFor has the stream closed once nothing has come for the given time, or no event by its due time. A read of the body may
 // take longer: it returns whole chunks.
 func (s *stream) watchFor(silence time.Duration) {
