One way to a socket's descriptor, one listener with small buffers, one worker that answers all

The change had written again: access to a socket's descriptor (delivery.Control now serves peek, dup, shutDown and PeerClosed), a listener with small receive buffers (three times), a worker that answers each request (rawWorker's loop), a proxy in front of one role (proxies.wrap). Progress asks the system once where all has arrived, in place of twice; nothing owed is nothing written, said in WriteNow; lost answers are logged in one place.

--- a/cmd/rowanyard/ends_test.go
+++ b/cmd/rowanyard/ends_test.go
@@ -65,19 +65,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			arrived := &arrivedRequests{ids: make(map[string]bool)}
-			var reader *faultproxy.Proxy
-			_, p := startRouter(t, standin.Options{OnEvent: arrived.record, ListedAddress: func(host, address string) string {
-				if host[0] != 'r' {
-					return address
-				}
-				proxy, err := faultproxy.StartSmall(address)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(proxy.Close)
-				reader = proxy
-				return proxy.Address()
-			}}, "")
+			readers := &proxies{t: t, role: "reader", start: faultproxy.StartSmall}
+			_, p := startRouter(t, standin.Options{OnEvent: arrived.record, ListedAddress: readers.wrap}, "")
+			reader := readers.all[0]
 			reader.SetAfter(faultproxy.Stalled, beforeStall, 0)
 			request := newLargeRequest(p, "x", x.class)
 			request.Header.Set("X-Remaining-Ms", x.remainingMs)
--- a/cmd/rowanyard/incident_test.go
+++ b/cmd/rowanyard/incident_test.go
@@ -4,11 +4,13 @@
 // states held at a reader were neither fetched by a writer nor released in time.
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,18 +71,24 @@
 	}
 }
 
-// proxies are fault-injecting proxies in front of a deployment's writers.
+// proxies are fault-injecting proxies in front of the workers of one role of a deployment, the writers if none is named.
 type proxies struct {
-	t   *testing.T
-	all []*faultproxy.Proxy
+	t     *testing.T
+	role  string                                          // the start of the workers' names
+	start func(address string) (*faultproxy.Proxy, error) // nil: faultproxy.Start
+	all   []*faultproxy.Proxy
 }
 
 // wrap implements standin.Options.ListedAddress.
 func (p *proxies) wrap(host, address string) string {
-	if host[0] != 'w' {
+	if !strings.HasPrefix(host, cmp.Or(p.role, "writer")) {
 		return address
 	}
-	proxy, err := faultproxy.Start(address)
+	start := p.start
+	if start == nil {
+		start = faultproxy.Start
+	}
+	proxy, err := start(address)
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -1,13 +1,13 @@
 package delivery
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
+
+	"rowanyard/internal/scale/faultproxy"
 )
 
 const (
@@ -18,13 +18,7 @@
 // connect returns a connection, and its other end, whose system holds little of what comes before it is read.
 func connect(t *testing.T) (here, there net.Conn) {
 	t.Helper()
-	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-		})
-		return errors.Join(controlErr, err)
-	}}
-	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	l, err := faultproxy.ListenSmall(receiveBuffer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,9 +111,6 @@
 	if err != nil || len(rest) == 0 || len(rest) == huge {
 		t.Fatalf("%d bytes left, %v", len(rest), err)
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	context.AfterFunc(ctx, func() { there.Close() })
 	go io.Copy(io.Discard, there)
 	const patient = time.Minute
 	if err := Write(here, rest[:1<<20], patient); err != nil {
--- a/internal/delivery/last.go
+++ b/internal/delivery/last.go
@@ -15,12 +15,15 @@
 // WriteNow writes as much of p as fits into the send buffer of a connection's socket, without waiting and whatever write deadline
 // is set or over: however late this process is, what is owed is tried. It returns what did not fit.
 func WriteNow(c net.Conn, p []byte) (rest []byte, err error) {
+	if len(p) == 0 {
+		return nil, nil
+	}
 	if _, ok := c.(interface{ CloseWrite() error }); !ok {
 		_ = c.SetWriteDeadline(time.Now().Add(bufferedWriteTime))
 		_, err := c.Write(p)
 		return nil, err
 	}
-	err = control(c, func(fd int) error {
+	err = Control(c, func(fd int) error {
 		for len(p) > 0 {
 			n, err := unix.Write(fd, p)
 			p = p[max(0, n):]
--- a/internal/delivery/outbound.go
+++ b/internal/delivery/outbound.go
@@ -83,13 +83,13 @@
 
 // Progress returns how far the request under way has come.
 func (o *Outbound) Progress() Progress {
+	if bytes, ok := Unacknowledged(o.Conn); !ok || bytes == 0 {
+		return Arrived
+	}
 	if bytes, ok := unsent(o.Conn); ok && bytes > 0 {
 		return Unsent
 	}
-	if bytes, ok := Unacknowledged(o.Conn); ok && bytes > 0 {
-		return InFlight
-	}
-	return Arrived
+	return InFlight
 }
 
 // Detach keeps the connection open beyond the end of this process, for one that continues it.
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -1,9 +1,10 @@
 // Package delivery knows what has become of the bytes that this process writes to TCP sockets: whether the peer's system has
 // them, and what can still be taken back. Outbound accounts for the requests on one connection to a worker, from the first byte
-// to the end of the answer or the end of the request; Last writes the last answers that a client is owed.
+// to the end of the answer or the end of the request; Write and WriteNow write the last answers that a client is owed.
 package delivery
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -30,7 +31,7 @@
 
 // outputQueue asks for the size of a part of a socket's send buffer.
 func outputQueue(c net.Conn, request uint) (bytes int, ok bool) {
-	err := control(c, func(fd int) (err error) {
+	err := Control(c, func(fd int) (err error) {
 		bytes, err = unix.IoctlGetInt(fd, request)
 		return err
 	})
@@ -40,7 +41,7 @@
 // setResetOnClose sets whether the end of the connection, by a close or by the end of this process, discards what the peer has
 // not acknowledged and resets the connection.
 func setResetOnClose(c net.Conn, on bool) error {
-	return control(c, func(fd int) error {
+	return Control(c, func(fd int) error {
 		linger := unix.Linger{Onoff: 0, Linger: 0}
 		if on {
 			linger.Onoff = 1
@@ -49,11 +50,14 @@
 	})
 }
 
-// control runs call with the descriptor of a connection's socket.
-func control(c net.Conn, call func(fd int) error) error {
+// ErrNotASocket is returned for connections without a descriptor.
+var ErrNotASocket = errors.New("not a socket")
+
+// Control runs call with the descriptor of a connection's socket, and returns its error.
+func Control(c net.Conn, call func(fd int) error) error {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return syscall.ENOTSOCK
+		return ErrNotASocket
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -430,9 +430,7 @@
 func (c *clientConn) refuseRest() error {
 	c.readsEnded = true
 	c.pipelined.Store(0) // these are counted below
-	if owed := c.refusals(c.counter.count(c.buf)); owed != "" {
-		c.writeLast(owed)
-	}
+	c.writeLast(c.refusals(c.counter.count(c.buf)))
 	return io.EOF
 }
 
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -173,7 +174,9 @@
 }
 
 // reportLost logs that a client did not get the last answer on its connection.
-func (l *clientListener) reportLost(err error) { l.log.Info("last answer not delivered", "err", err) }
+func (l *clientListener) reportLost(err error) { logLostAnswer(l.log, err) }
+
+func logLostAnswer(log *slog.Logger, err error) { log.Info("last answer not delivered", "err", err) }
 
 // announceClose sets or removes "Connection: close" in the header of an answer. A connection ends with the answer to
 // a chunked request. While the listener is closing, it also ends with any other answer unless more requests have been
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -288,21 +288,7 @@
 				return
 			}
 			conns.Add(1)
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					if r.Method != http.MethodPost {
-						io.WriteString(c, "HTTP/1.1 204 X\r\n\r\n")
-						continue
-					}
-					io.WriteString(c, answer(int(requests.Add(1))-1))
-				}
-			}()
+			go answerAll(c, bufio.NewReader(c), func() string { return answer(int(requests.Add(1)) - 1) })
 		}
 	}()
 	return l.Addr().String(), &conns
--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"rowanyard/internal/delivery"
 )
 
 const (
@@ -134,37 +136,22 @@
 }
 
 // dup duplicates the descriptor of a connection's socket.
-func dup(c net.Conn) (int, error) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return -1, errors.ErrUnsupported
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return -1, err
-	}
-	fd, dupErr := -1, error(nil)
-	if err := raw.Control(func(of uintptr) {
+func dup(c net.Conn) (fd int, err error) {
+	fd = -1
+	err = delivery.Control(c, func(of int) (err error) {
 		syscall.ForkLock.RLock()
 		defer syscall.ForkLock.RUnlock()
-		if fd, dupErr = syscall.Dup(int(of)); dupErr == nil {
+		if fd, err = syscall.Dup(of); err == nil {
 			syscall.CloseOnExec(fd)
 		}
-	}); err != nil {
-		return -1, err
-	}
-	return fd, dupErr
+		return err
+	})
+	return fd, err
 }
 
 // shutDown ends a connection, whichever processes have its socket open.
 func shutDown(c net.Conn) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := s.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
-	}
+	_ = delivery.Control(c, func(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_RDWR) })
 }
 
 // successor holds the path at which the process that takes over receives streams, or "" if there is none.
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -251,7 +251,7 @@
 // closeClient ends the connection to the client behind a complete answer, and refuses the requests that were read behind it.
 func (s *receivedStream) closeClient(refusals string) {
 	if !s.handOverFailed {
-		_ = s.receiver.budgets().Close(s.client, []byte(refusals), func(err error) { s.receiver.log.Info("last answer not delivered", "err", err) })
+		_ = s.receiver.budgets().Close(s.client, []byte(refusals), func(err error) { logLostAnswer(s.receiver.log, err) })
 		s.clientClosed = true
 		return
 	}
--- a/internal/httpfront/secondanswer_test.go
+++ b/internal/httpfront/secondanswer_test.go
@@ -51,7 +51,7 @@
 				go w.serveTwice(c, first, second, others)
 				continue
 			}
-			go answerAll(c, bufio.NewReader(c), others)
+			go answerAll(c, bufio.NewReader(c), func() string { return others })
 		}
 	}()
 	return w
@@ -66,8 +66,8 @@
 	return r, err
 }
 
-// answerAll answers attempts with the given text, and calls.
-func answerAll(c net.Conn, in *bufio.Reader, attempts string) {
+// answerAll answers each attempt with what answer returns, and calls.
+func answerAll(c net.Conn, in *bufio.Reader, answer func() string) {
 	defer c.Close()
 	for {
 		r, err := readRequest(in)
@@ -75,7 +75,7 @@
 			return
 		}
 		if r.Method == http.MethodPost {
-			io.WriteString(c, attempts)
+			io.WriteString(c, answer())
 		} else {
 			io.WriteString(c, callAnswer)
 		}
@@ -105,7 +105,7 @@
 		}
 		io.WriteString(c, second)
 	}
-	answerAll(c, in, others)
+	answerAll(c, in, func() string { return others })
 }
 
 // Whatever is sent next on a connection, and after whatever answer to an attempt: a second answer that comes within the window is
--- a/internal/httpfront/silence_test.go
+++ b/internal/httpfront/silence_test.go
@@ -18,6 +18,7 @@
 	"rowanyard/decide"
 	"rowanyard/internal/acceptretry"
 	"rowanyard/internal/core"
+	"rowanyard/internal/delivery"
 	"rowanyard/internal/scale/faultproxy"
 )
 
@@ -148,7 +149,7 @@
 		}
 		server.Close()
 	}
-	if c, _ := net.Pipe(); isDisconnected(c) || errors.Is(errNotASocket, net.ErrClosed) {
+	if c, _ := net.Pipe(); isDisconnected(c) || errors.Is(delivery.ErrNotASocket, net.ErrClosed) {
 		t.Error("a connection that is not a socket counts as disconnected")
 	}
 }
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -13,8 +13,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"rowanyard/internal/core"
 )
 
 // clientPatience is how long after a running worker's last event a client that still waits has lost its request.
@@ -46,7 +44,7 @@
 		return &workerConn{Conn: here, openConns: &x.Workers.openConns, done: make(chan struct{}), registry: &x.Workers.conns}, nil
 	}
 	a.Deadline = time.Now().Add(time.Hour)
-	res := x.Try(t.Context(), core.Attempt(a))
+	res := x.Try(t.Context(), a)
 	if res.Err != nil {
 		t.Fatal(res.Err)
 	}
--- a/internal/httpfront/takeback_test.go
+++ b/internal/httpfront/takeback_test.go
@@ -5,14 +5,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"rowanyard/decide"
 	"rowanyard/internal/core"
+	"rowanyard/internal/scale/faultproxy"
 )
 
 const smallReceiveBuffer = 4 << 10 // bytes
@@ -27,16 +26,7 @@
 
 func newStoppingWorker(t *testing.T) *stoppingWorker {
 	t.Helper()
-	limit := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-		})
-		if err == nil {
-			err = controlErr
-		}
-		return err
-	}}
-	l, err := limit.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	l, err := faultproxy.ListenSmall(smallReceiveBuffer)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -160,34 +160,21 @@
 	if err == nil {
 		return n == 0
 	}
-	return !errors.Is(err, errNotASocket) && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.ENOMEM)
+	return !errors.Is(err, delivery.ErrNotASocket) && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.ENOMEM)
 }
 
-var errNotASocket = errors.New("not a socket")
-
 // peek looks at the next byte of a connection without consuming it. It returns 0 at the end of the input and an error
 // if there is none yet.
 func peek(c net.Conn) (n int, err error) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errNotASocket
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	err = errNotASocket
-	if controlErr := raw.Control(func(fd uintptr) {
+	err = delivery.Control(c, func(fd int) (err error) {
 		var b [1]byte
 		for {
-			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 			if !errors.Is(err, syscall.EINTR) {
-				return
+				return err
 			}
 		}
-	}); controlErr != nil {
-		err = controlErr
-	}
+	})
 	return n, err
 }
 
--- a/internal/inbound/reader.go
+++ b/internal/inbound/reader.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rowanyard/internal/delivery"
 )
 
 // ErrNothingYet is what a Reader's ReadOnce returns if nothing can be read now.
@@ -206,14 +208,9 @@
 // PeerClosed reports whether the peer has closed a connection or it is broken, also while there is unread input. It is false
 // where the connection is no socket.
 func PeerClosed(c net.Conn) (closed bool) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
-	return closed && err == nil
+	_ = delivery.Control(c, func(fd int) error {
+		closed = peerClosed(fd)
+		return nil
+	})
+	return closed
 }
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -75,27 +75,39 @@
 }
 
 // Start starts a Proxy in front of target.
-func Start(target string) (*Proxy, error) { return start(target, bufferBytes, &net.ListenConfig{}) }
+func Start(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return start(target, bufferBytes, l), nil
+}
 
 // StartSmall starts a Proxy whose receive buffers for what clients send hold few bytes, as at a worker that is short of memory.
 func StartSmall(target string) (*Proxy, error) {
-	return start(target, smallBytes, &net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+	l, err := ListenSmall(smallBytes)
+	if err != nil {
+		return nil, err
+	}
+	return start(target, smallBytes, l), nil
+}
+
+// ListenSmall listens on loopback, with receive buffers of the given number of bytes, or as few as the system has.
+func ListenSmall(receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBytes)
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		})
 		return errors.Join(controlErr, err)
-	}})
+	}}
+	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 }
 
-func start(target string, readSize int, listen *net.ListenConfig) (*Proxy, error) {
-	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
+func start(target string, readSize int, l net.Listener) *Proxy {
 	p := &Proxy{target: target, readSize: readSize, listener: l.(*net.TCPListener), changed: make(chan struct{}), sessions: make(map[*session]bool)}
 	p.onStall = sync.NewCond(&p.mu)
 	p.goroutines.Go(p.accept)
-	return p, nil
+	return p
 }
 
 // Address returns the address for clients.
