A stream is whole only behind its proof, and its events pass as their bytes come

Cause: two readers of one framing. workerConn took the last chunk's size line for the end of the body and made up the rest, so that a trailer that broke off, or never came, was a whole answer. net/http's reader behind it gives back nothing of a chunk before its buffer is full or the chunk ends, so that the clock of events ran out while events came. Answers without chunks ended with whatever ended them.

Streams that are handed over follow the same rule, and carry how long their client has waited for an event. One clock of events serves both.

--- a/internal/httpfront/handover.go
+++ b/internal/httpfront/handover.go
@@ -38,23 +38,26 @@
 	Length int        `json:"length"` // bytes read of that line
 	Fine   bool       `json:"fine"`   // its field name is a valid one
 	Note   bool       `json:"note"`   // it is a comment
+	Data   bool       `json:"data"`   // the current event has a line of data; false from a process of an older version
+	Waited int64      `json:"waited"` // milliseconds since the latest event; 0 from a process of an older version
 	Behind int        `json:"behind"` // requests that were read behind the one being answered
 	ID     string     `json:"id"`     // the request's id; empty from a process of an older version
 }
 
 // streamPositionOf returns the position that the scanners of a stream have reached.
 func streamPositionOf(c chunkScanner, e eventScanner) streamPosition {
-	return streamPosition{Chunk: c.state, Left: c.bytesLeft, Count: c.lineBytes, Line: e.namePrefix, Length: e.lineBytes, Fine: e.validName, Note: e.isComment}
+	return streamPosition{Chunk: c.state, Left: c.bytesLeft, Count: c.lineBytes, Line: e.namePrefix, Length: e.lineBytes, Fine: e.validName,
+		Note: e.isComment, Data: e.hasData}
 }
 
 // scanners returns scanners for the rest of the stream, or an error if the position is not a valid one.
 func (h streamPosition) scanners() (chunkScanner, eventScanner, error) {
 	if h.Chunk < chunkSize || h.Chunk > trailerLF || h.Left < 0 || h.Left > maxChunkBytes || h.Count < 0 || h.Length < 0 || len(h.Line) > h.Length ||
-		h.Behind < 0 || h.Behind > maxReadAhead {
+		h.Behind < 0 || h.Behind > maxReadAhead || h.Waited < 0 {
 		return chunkScanner{}, eventScanner{}, fmt.Errorf("invalid stream position: %+v", h)
 	}
 	return chunkScanner{state: h.Chunk, bytesLeft: h.Left, lineBytes: h.Count},
-		eventScanner{namePrefix: h.Line, lineBytes: h.Length, validName: h.Fine, isComment: h.Note}, nil
+		eventScanner{namePrefix: h.Line, lineBytes: h.Length, validName: h.Fine, isComment: h.Note, hasData: h.Data}, nil
 }
 
 // handOverStream hands a stream over to the process that takes over. The sockets stay open in this process.
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -149,6 +149,7 @@
 		return err
 	}
 	s.client, s.worker = conns[0], conns[1]
+	s.waited = time.Duration(position.Waited) * time.Millisecond
 	h.running.Begin()
 	go func() {
 		defer h.running.End()
@@ -173,6 +174,8 @@
 	client, worker net.Conn
 	chunk          chunkScanner
 	events         eventScanner
+	waited         time.Duration // for the next event, before this process had the stream
+	nextEvent      eventClock
 	pipelined      atomic.Int32 // requests that were read behind the one being answered
 	clientClosed   bool         // the answer is complete, and the connection to the client is being closed
 	handOverFailed bool         // it goes on here, or breaks if clients request the rest
@@ -191,61 +194,60 @@
 	defer context.AfterFunc(s.receiver.cutCtx, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
 	buf, out := make([]byte, copyBufferBytes), []byte(nil)
 	s.chunk.onData = func(p []byte) { out = append(out, p...) }
-	eventDue, rechecked := time.Now().Add(maxEventGap), false
+	s.nextEvent.restart(s.waited)
+	rechecked := false // this process was late since the latest event
 	for {
-		_ = s.worker.SetReadDeadline(earlier(time.Now().Add(StreamStallTimeout), eventDue))
+		_ = s.worker.SetReadDeadline(time.Now().Add(s.nextEvent.left()))
 		// This comes second, as the deadline just set may have replaced the one set by AfterFunc.
 		if s.handOverDue() && !s.handOver() {
 			return
 		}
 		n, err := s.worker.Read(buf)
 		out = out[:0]
-		_, _, chunkErr := s.chunk.feed(buf[:n])
+		_, ended, chunkErr := s.chunk.feed(buf[:n])
 		events := s.events.events
 		valid, _, eventErr := s.events.feed(out)
-		now := time.Now()
+		writeBegan := time.Now()
 		if s.events.events > events {
-			eventDue, rechecked = now.Add(maxEventGap), false
+			s.nextEvent.restart(0)
+			rechecked = false
 		}
 		if valid > 0 && s.writeChunk(out[:valid]) != nil {
 			return
 		}
-		eventDue = eventDue.Add(clientWait(now))
+		s.nextEvent.excludeClient(writeBegan)
+		broken := errors.Join(chunkErr, eventErr)
+		if ended && broken == nil {
+			broken = checkWhole(true, &s.events)
+		}
 		switch {
-		case chunkErr != nil || eventErr != nil:
-			s.receiver.log.Info("stream broke off", "handed", true, "err", errors.Join(chunkErr, eventErr))
+		case broken != nil:
+			s.logBroken(broken)
 			return
-		case s.chunk.dataEnded():
-			if s.events.lineBytes == 0 {
-				s.releaseID()
-				_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-				_, _ = s.client.Write([]byte("0\r\n\r\n"))
-				s.closeClient(refusalsText(s.receiver.retryAfter, int(s.pipelined.Load())))
-			}
+		case ended:
+			s.endAnswer()
 			return
 		case err != nil && s.handOverDue(): // it was interrupted for this
 		case errors.Is(err, os.ErrDeadlineExceeded) && !rechecked && hasUnreadInput(s.worker): // this process was late
 			rechecked = true
-			eventDue = later(eventDue, now.Add(stallRecheck))
+			s.nextEvent.extendTo(stallRecheck)
 		case err != nil:
-			s.receiver.log.Info("stream broke off", "handed", true, "err", err)
+			s.logBroken(err)
 			return
 		}
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
+func (s *receivedStream) logBroken(err error) {
+	s.receiver.log.Info("stream broke off", "handed", true, "txn", s.id, "err", err)
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
+// endAnswer writes the last chunk to the client and closes the connection.
+func (s *receivedStream) endAnswer() {
+	s.releaseID()
+	_ = s.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+	_, _ = s.client.Write([]byte(bodyEnd))
+	s.closeClient(refusalsText(s.receiver.retryAfter, int(s.pipelined.Load())))
 }
 
 // closeClient ends the connection to the client behind a complete answer, and refuses the requests that were read behind it.
@@ -322,5 +324,6 @@
 	defer syscall.Close(worker)
 	position := streamPositionOf(s.chunk, s.events)
 	position.Behind, position.ID = int(s.pipelined.Load()), s.id
+	position.Waited = s.nextEvent.waited().Milliseconds()
 	return s.receiver.front.handOverStream(position, client, worker)
 }
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -91,6 +91,7 @@
 	r.conn.socket.pause()
 	position := streamPositionOf(s.conn.chunks, s.events)
 	position.Behind, position.ID = int(r.conn.pipelined.Load()), r.id
+	position.Waited = s.nextEvent.waited().Milliseconds()
 	worker := s.conn.handOverFD
 	client, err := dup(r.conn.Conn)
 	if err != nil {
@@ -100,6 +101,7 @@
 	}
 	err = r.front.handOverStream(position, client, worker)
 	if err != nil && !r.front.CutStreams {
+		position.Waited = s.nextEvent.waited().Milliseconds() // the other process had a part of it
 		return r.front.keptStreams.startStream(position, []int{client, worker}, nil) == nil
 	}
 	if err != nil {
--- a/internal/httpfront/streamscan.go
+++ b/internal/httpfront/streamscan.go
@@ -13,7 +13,6 @@
 	bytesLeft int64          // of the chunk's data
 	lineBytes int            // of the current line
 	onData    func(p []byte) // receives the data, may be nil
-	dataEnd   int            // where in the bytes fed last the last chunk's size line ended, if it did
 }
 
 // chunkState is the part of a chunked body that the next byte belongs to. Its numbers are part of streamPosition.
@@ -76,7 +75,7 @@
 			}
 			s.state, s.lineBytes = chunkData, 0
 			if s.bytesLeft == 0 {
-				s.state, s.dataEnd = trailer, n
+				s.state = trailer
 			}
 		case chunkCR, chunkLF:
 			if s.state == chunkCR && b == '\r' {
@@ -102,9 +101,6 @@
 	return n, false, nil
 }
 
-// dataEnded reports whether the last chunk has come. What may follow is a trailer.
-func (s *chunkScanner) dataEnded() bool { return s.state >= trailer }
-
 func unhex(b byte) int {
 	switch {
 	case b >= '0' && b <= '9':
@@ -126,10 +122,16 @@
 	isComment  bool   // the line is a comment
 	hasData    bool   // the current event has a line of data
 	events     int    // events with data that are complete
+	data       []byte // the start of the current line's value if it is one of data
+	endMark    bool   // the latest line of data is the end mark
 }
 
-// dataField is the name of the lines without which nothing is an event.
-const dataField = "data"
+const (
+	dataField = "data" // the name of the lines without which nothing is an event
+	endMark   = "[DONE]"
+	// maxEndMarkBytes is the length of the end mark's value with spaces around it.
+	maxEndMarkBytes = len(" " + endMark + " \r")
+)
 
 var eventFields = []string{dataField, "event", "id", "retry"}
 
@@ -147,8 +149,9 @@
 				}
 			} else if string(s.namePrefix) == dataField {
 				s.hasData = true
+				s.endMark = string(bytes.TrimSpace(s.data)) == endMark
 			}
-			*s = eventScanner{namePrefix: s.namePrefix[:0], hasData: s.hasData, events: s.events}
+			*s = eventScanner{namePrefix: s.namePrefix[:0], data: s.data[:0], hasData: s.hasData, events: s.events, endMark: s.endMark}
 			continue
 		}
 		if s.lineBytes++; s.lineBytes > maxEventBytes {
@@ -160,6 +163,9 @@
 			if b < ' ' && b != '\t' && b != '\r' {
 				return i, blank, malformed("control character in an event line")
 			}
+			if len(s.data) <= maxEndMarkBytes && string(s.namePrefix) == dataField {
+				s.data = append(s.data, b)
+			}
 		case b == ':':
 			s.isComment = len(s.namePrefix) == 0
 			if s.validName = true; !s.isComment && !isEventField(s.namePrefix) {
@@ -174,6 +180,12 @@
 	return len(p), blank, nil
 }
 
+// insideEvent reports whether the latest line, or the event that it belongs to, is incomplete.
+func (s *eventScanner) insideEvent() bool { return s.lineBytes > 0 || s.hasData }
+
+// endsWithMark reports whether the latest event is the end mark.
+func (s *eventScanner) endsWithMark() bool { return s.endMark && !s.insideEvent() }
+
 func isEventField(name []byte) bool {
 	for _, f := range eventFields {
 		if string(name) == f {
@@ -207,7 +219,7 @@
 		if data = bytes.TrimSpace(data); len(data) == 0 {
 			continue
 		}
-		if string(data) != "[DONE]" && !(data[0] == '{' && json.Valid(data)) {
+		if string(data) != endMark && !(data[0] == '{' && json.Valid(data)) {
 			return false, malformed("malformed data of the first event: %.40q", data)
 		}
 		return true, nil
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -54,7 +54,6 @@
 	outbound          delivery.Outbound           // of the requests on it
 	done              chan struct{}               // closed with the connection
 	unusable          atomic.Bool                 // must not be used for another request
-	trailerPending    atomic.Bool                 // the answer has ended but for its trailer
 	handOverRequested atomic.Bool                 // another process is to continue the answer
 	handOverFD        int                         // the duplicated socket, set once Read has returned errHandedOver
 	addr              string                      // of the worker
@@ -71,7 +70,7 @@
 	state              answerState
 	bodyLeft           int64 // bytes of the body still to come
 	chunks             chunkScanner
-	trailerBytes       int
+	chunkData          []byte // what the chunked body's last bytes held of its data
 	err                error
 }
 
@@ -81,14 +80,19 @@
 const (
 	inHead        answerState = iota
 	inSizedBody               // with a Content-Length
-	inChunkedBody             // the last chunk ends it
+	inChunkedBody             // the empty line behind its trailer ends it
 	inBodyToClose             // the close of the connection ends it
-	inTrailer                 // of a chunked body that has been passed on
 )
 
+// The framing of the chunks that Read returns.
 const (
-	emptyTrailer  = "\n\r\n" // the end of the last chunk's size line, and of the body
-	trailerBuffer = 512
+	chunkSizeDigits  = 4
+	chunkHeadBytes   = chunkSizeDigits + len(lineEnd)
+	maxChunkData     = 1<<(4*chunkSizeDigits) - 1
+	lineEnd          = "\r\n"
+	bodyEnd          = "0" + lineEnd + lineEnd // the last chunk, with an empty trailer
+	chunkFramingSize = chunkHeadBytes + len(lineEnd) + len(bodyEnd)
+	minChunkBuffer   = 512 // that a chunk is read into
 )
 
 // Close implements net.Conn.
@@ -107,9 +111,6 @@
 // Write refuses to send a request on a connection with unread input, which could be taken for its answer, and to send
 // one that is no longer wanted: the transport writes the head before it reads the body.
 func (c *workerConn) Write(p []byte) (int, error) {
-	if c.trailerPending.Load() {
-		return 0, errUnreadInput
-	}
 	if !c.awaitingAnswer.Load() {
 		if mayWrite := c.mayWrite.Swap(nil); mayWrite != nil && !(*mayWrite)() {
 			return 0, errWithdrawn
@@ -181,47 +182,21 @@
 // Read returns the answers one after the other, never bytes of two at once.
 func (c *workerConn) Read(p []byte) (int, error) {
 	for len(p) > 0 {
-		if c.readyBytes > 0 {
-			n := copy(p, c.buf[:c.readyBytes])
+		n := 0
+		switch {
+		case c.readyBytes > 0:
+			n = copy(p, c.buf[:c.readyBytes])
 			c.buf, c.readyBytes = c.buf[n:], c.readyBytes-n
-			return n, nil
-		}
-		if c.err != nil {
+		case c.err != nil:
 			return 0, c.err
-		}
-		switch c.state {
-		case inHead:
+		case c.state == inHead:
 			if err := c.readHead(); err != nil {
 				c.fail(err)
 			}
-			continue
-		case inTrailer:
-			if err := c.readTrailer(); err != nil {
-				c.fail(err)
-			}
-			continue
-		}
-		var n int
-		var err error
-		if len(c.buf) > 0 { // received with the head
-			n = copy(p, c.buf)
-			c.buf = c.buf[n:]
-		} else {
-			c.buf = nil
-			n, err = c.receive(p)
-		}
-		if err != nil && n == 0 && c.handOverRequested.CompareAndSwap(true, false) && errors.Is(err, os.ErrDeadlineExceeded) {
-			c.outbound.Detach()
-			// The transport closes the connection as soon as it has an error.
-			if c.handOverFD, err = dup(c.Conn); err != nil { // the stream goes on here
-				_ = c.Conn.SetReadDeadline(time.Time{})
-				continue
-			}
-			err = errHandedOver
-		}
-		c.err = err
-		if n, err = c.scanBody(p[:n]); err != nil {
-			c.fail(err)
+		case c.state == inChunkedBody:
+			n = c.readChunks(p)
+		default:
+			n = c.readBody(p)
 		}
 		if n > 0 {
 			return n, nil
@@ -230,6 +205,93 @@
 	return 0, nil
 }
 
+// readBody reads from a body without chunks.
+func (c *workerConn) readBody(p []byte) int {
+	received := c.receiveBody(p)
+	if c.state != inSizedBody {
+		return received
+	}
+	n := int(min(c.bodyLeft, int64(received)))
+	if c.bodyLeft -= int64(n); c.bodyLeft == 0 {
+		c.end(received - n + len(c.buf))
+	}
+	return n
+}
+
+// readChunks reads from a chunked body. All data that has come becomes one chunk, as net/http returns no part of a chunk before it
+// has a buffer full of it. The last chunk follows once that of the worker has come together with its trailer, which is dropped.
+func (c *workerConn) readChunks(p []byte) int {
+	if len(p) < minChunkBuffer {
+		chunk := make([]byte, minChunkBuffer)
+		chunk = chunk[:c.readChunks(chunk)]
+		n := copy(p, chunk)
+		c.buf = append(chunk[n:], c.buf...)
+		c.readyBytes = len(chunk) - n
+		return n
+	}
+	in := p[chunkHeadBytes:]
+	in = in[:min(len(p)-chunkFramingSize, maxChunkData)]
+	received := c.receiveBody(in)
+	c.chunkData = in[:0]
+	used, ended, err := c.chunks.feed(in[:received])
+	n := frameChunk(p, len(c.chunkData))
+	switch {
+	case err != nil:
+		c.fail(err)
+	case ended:
+		n += copy(p[n:], bodyEnd)
+		c.end(received - used + len(c.buf))
+	}
+	return n
+}
+
+// collectChunkData receives the data of a chunked body. It moves it to the front of the bytes that it was found in.
+func (c *workerConn) collectChunkData(data []byte) { c.chunkData = append(c.chunkData, data...) }
+
+// frameChunk writes the framing around data of the given size that stands behind the room for a chunk's head. It returns the
+// chunk's length, 0 if there is no data: such a chunk would be the last one.
+func frameChunk(p []byte, size int) int {
+	if size == 0 {
+		return 0
+	}
+	const hexDigits = "0123456789abcdef"
+	for i, rest := chunkSizeDigits-1, size; i >= 0; i-- {
+		p[i] = hexDigits[rest%len(hexDigits)]
+		rest /= len(hexDigits)
+	}
+	copy(p[chunkSizeDigits:], lineEnd)
+	end := chunkHeadBytes + size
+	return end + copy(p[end:], lineEnd)
+}
+
+// receiveBody returns bytes of a body, or behind it: first those that were received with the head.
+func (c *workerConn) receiveBody(p []byte) int {
+	if len(c.buf) > 0 {
+		n := copy(p, c.buf)
+		c.buf = c.buf[n:]
+		return n
+	}
+	c.buf = nil
+	n, err := c.receive(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.handOverRequested.CompareAndSwap(true, false) {
+		err = c.detach()
+	}
+	c.err = err
+	return n
+}
+
+// detach duplicates the socket for the process that is to continue the answer, and returns errHandedOver. If that fails the answer
+// goes on here.
+func (c *workerConn) detach() (err error) {
+	c.outbound.Detach()
+	// The transport closes the connection as soon as it has an error.
+	if c.handOverFD, err = dup(c.Conn); err != nil {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		return nil
+	}
+	return errHandedOver
+}
+
 // receive reads from the socket. A deadline that is over does not count for input that was there: this process was late, not the
 // worker.
 func (c *workerConn) receive(p []byte) (int, error) {
@@ -306,16 +368,16 @@
 	// Load reports are taken from probes only. A malformed one must not invalidate the head that carries it.
 	keep := func(name []byte) bool { return !bytes.EqualFold(name, []byte(headerLoadReport)) }
 	f, kept, ok := parseFields(c.buf[first:end], keep, append(make([]byte, 0, len(c.buf)), c.buf[:first]...))
-	if !ok {
+	if !ok || f.chunked && bytes.Equal(version, []byte("HTTP/1.0")) {
 		return malformed("ambiguous framing in its head")
 	}
 	c.readyBytes = len(kept)
 	c.buf = append(kept, c.buf[end:]...)
 	switch {
 	case code == 204 || code == 304 || f.hasLength && f.contentLength == 0:
-		return c.end(len(c.buf) - c.readyBytes)
+		c.end(len(c.buf) - c.readyBytes)
 	case f.chunked:
-		c.state, c.chunks = inChunkedBody, chunkScanner{}
+		c.state, c.chunks = inChunkedBody, chunkScanner{onData: c.collectChunkData}
 	case f.hasLength:
 		c.state, c.bodyLeft = inSizedBody, f.contentLength
 	default:
@@ -324,82 +386,18 @@
 	return nil
 }
 
-// scanBody follows the body through p and returns how many of these bytes belong to it.
-func (c *workerConn) scanBody(p []byte) (int, error) {
-	switch c.state {
-	case inSizedBody:
-		n := int(min(c.bodyLeft, int64(len(p))))
-		if c.bodyLeft -= int64(n); c.bodyLeft == 0 {
-			return n, c.end(len(p) - n + len(c.buf))
-		}
-		return n, nil
-	case inChunkedBody:
-		n, end, err := c.chunks.feed(p)
-		if err != nil || !c.chunks.dataEnded() {
-			return n, err
-		}
-		return c.chunks.dataEnd, c.endData(p[n:], end)
-	}
-	return len(p), nil
-}
-
-// endData passes on the end of a chunked body as soon as its last chunk has come, whenever its trailer comes, which nobody reads.
-// rest was received behind what belongs to the body, and trailerEnded is whether the trailer has come.
-func (c *workerConn) endData(rest []byte, trailerEnded bool) error {
-	extra := append(bytes.Clone(rest), c.buf...)
-	c.buf = append([]byte(emptyTrailer), extra...)
-	c.readyBytes = len(emptyTrailer)
-	if trailerEnded {
-		return c.end(len(extra))
-	}
-	c.state, c.trailerBytes = inTrailer, 0
-	c.trailerPending.Store(true)
-	return nil
-}
-
-// readTrailer reads the trailer of an answer whose body has been passed on.
-func (c *workerConn) readTrailer() error {
-	if len(c.buf) == 0 {
-		c.buf = make([]byte, trailerBuffer)
-		n, err := c.receive(c.buf)
-		if c.buf = c.buf[:n]; n == 0 {
-			return err
-		}
-	}
-	n, end, err := c.chunks.feed(c.buf)
-	c.buf = c.buf[n:]
-	c.trailerBytes += n
-	switch {
-	case err != nil:
-		return err
-	case c.trailerBytes > maxAnswerHeadBytes:
-		return malformed("trailer over %d bytes", maxAnswerHeadBytes)
-	case end:
-		c.trailerPending.Store(false)
-		return c.end(len(c.buf))
-	}
-	return nil
-}
-
 // end records the end of an answer. extra is the number of bytes that were received behind it.
-func (c *workerConn) end(extra int) error {
+func (c *workerConn) end(extra int) {
 	c.state = inHead
 	c.setWatch(nil)
 	c.outbound.Answered()
-	if extra > 0 {
+	switch {
+	case extra > 0:
 		c.buf = c.buf[:c.readyBytes]
 		c.registry.recordSecondAnswer(c.addr)
-		c.unusable.Store(true)
-		c.awaitingAnswer.Store(false)
-		return errExtraBytes
-	}
-	usedUp := c.outbound.CarriesAttempt() && c.registry.hasAnsweredTwice(c.addr)
-	if usedUp {
-		c.unusable.Store(true)
+		c.fail(errExtraBytes)
+	case c.outbound.CarriesAttempt() && c.registry.hasAnsweredTwice(c.addr):
+		c.fail(errUsedUp)
 	}
 	c.awaitingAnswer.Store(false)
-	if usedUp {
-		return errUsedUp
-	}
-	return nil
 }
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -333,7 +333,11 @@
 // stream turns a streaming answer into a result once its first event is complete.
 func (w *Workers) stream(ctx context.Context, res *http.Response, conn *workerConn) core.Result {
 	s := newStream(res, conn, w.Resume)
-	if err := s.readFirstEvent(); err != nil { // it broke or was malformed before its first event was complete
+	err := checkProvable(res)
+	if err == nil {
+		err = s.readFirstEvent()
+	}
+	if err != nil { // it broke or was malformed before its first event was complete
 		s.Close()
 		return core.Result{Status: failureStatus(ctx, err, true), NoState: true, Err: err}
 	}
