A request that is read late counts from when its last bytes came

The system tells when the last input of a connection came (TCP_INFO). Where that is more than 10 ms before the read, the request counts from there. It assumes that the last input is not older than the request's first byte, so that the time is never too short; a request whose bytes came apart and were read late together counts from the last ones.

--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -38,6 +39,20 @@
 	return bytes, err == nil
 }
 
+// SinceInput returns how long ago the last input of c reached this machine, whether it has been read or not. ok is false where the
+// system does not tell.
+func SinceInput(c net.Conn) (age time.Duration, ok bool) {
+	var info *unix.TCPInfo
+	err := Control(c, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // setResetOnClose sets whether the end of the connection, by a close or by the end of this process, discards what the peer has
 // not acknowledged and resets the connection.
 func setResetOnClose(c net.Conn, on bool) error {
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"rowanyard/internal/delivery"
 	"rowanyard/internal/inbound"
 )
 
@@ -394,7 +395,10 @@
 		c.lastReadAt = time.Now()
 		if len(c.buf) == 0 {
 			c.firstByteAt = c.lastReadAt
-			if !seenAt.IsZero() { // it waited for this process
+			if age, ok := delivery.SinceInput(c.Conn); ok && age > heldUpTolerance { // it waited for this process
+				c.firstByteAt = c.lastReadAt.Add(-age)
+			}
+			if !seenAt.IsZero() && seenAt.Before(c.firstByteAt) { // ... and more has come meanwhile
 				c.firstByteAt = seenAt
 			}
 		}
--- a/internal/httpfront/deadline_test.go
+++ b/internal/httpfront/deadline_test.go
@@ -15,6 +15,7 @@
 
 	"rowanyard/decide"
 	"rowanyard/internal/core"
+	"rowanyard/internal/delivery"
 )
 
 // A request carries the time left when it is written, not when its attempt began: the connection may have taken long to
@@ -123,3 +124,25 @@
 	remaining <- time.Duration(left) * time.Millisecond
 	io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\nConnection: close\r\n\r\n{\"cached_tokens\":1}")
 }
+
+// A request that has waited to be read, as this process was held up, has less time left.
+func TestTimeBudgetCountsWaitToBeRead(t *testing.T) {
+	const wait = 60 * time.Millisecond
+	here, there := tcpPair(t)
+	if _, err := io.WriteString(here, requestText("one", contentLength(requestBody), requestBody)); err != nil {
+		t.Fatal(err)
+	}
+	for age := time.Duration(0); age < wait; {
+		var ok bool
+		if age, ok = delivery.SinceInput(there); !ok {
+			t.Fatal("the system does not tell when input came")
+		}
+	}
+	c := &clientConn{Conn: there, owner: newClientListener(nil, 1, 0, nil, discardLogger)}
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		t.Fatal(err)
+	}
+	if got := timeSinceArrival(contextWithConn(t.Context(), c)); got < wait {
+		t.Errorf("%v since its arrival, want at least %v", got, wait)
+	}
+}
