The module answers overdue requests first; the log says why a stream ended

The core now has the module do what is due before it looks whether the request is still open.

The incident's evidence had no line for the streams in question. `stream broke off` now has `err` and `took_ms`, and a stream that was whole has a line `stream ended` at debug level.

--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -36,10 +36,10 @@
 	client    context.Context  // ends when the client leaves
 	transport Transport
 	arrived   time.Time
-	commands  chan command       // from the module, in order
-	events    chan attemptEvent  // first tokens and ends of the attempts
-	streamEnd chan decide.Status // how the answer's stream ended
-	answer    chan Answer        // receives the one final answer
+	commands  chan command      // from the module, in order
+	events    chan attemptEvent // first tokens and ends of the attempts
+	streamEnd chan streamEnd    // how the answer's stream ended
+	answer    chan Answer       // receives the one final answer
 	idDone    func(mayHaveRun bool)
 
 	// The fields below are used by run's goroutine only, except for the atomic ones and for verdict, retryAfter and reason,
@@ -75,6 +75,12 @@
 	mayHaveRun   bool        // a write that may have taken effect, as far as its outcome shows
 }
 
+// streamEnd is how an answer's stream ended, and why it broke off if it did.
+type streamEnd struct {
+	status decide.Status
+	why    error
+}
+
 // attemptEvent is the first token (status 0) or the end of an attempt.
 type attemptEvent struct {
 	attemptNumber int
@@ -150,17 +156,12 @@
 			} else {
 				req.handleAttemptEnd(e)
 			}
-		case status := <-req.streamEnd:
-			req.handleStreamEnd(status)
+		case end := <-req.streamEnd:
+			req.handleStreamEnd(end)
 		case <-clientGone: // handled at the top of the loop
 		case <-heldTimer.C: // handled below
 		case <-overdueTimer.C:
-			// The module has left the request unanswered past its deadline. The client must get a final answer, and a failure
-			// is the one that leaves open whether the request ran.
-			if req.settleAs(Failed) {
-				c.log.Error("overdue", "id", req.ID, "txn", req.Label, "class", req.Class)
-				c.dispatch(func(now time.Duration, r *decide.Router) { r.ClientLeft(now, req.ID) })
-			}
+			req.handleOverdue()
 		}
 		req.releaseIfDue()
 		req.checkHeld()
@@ -186,6 +187,18 @@
 	return max(heldCheckMinInterval, wait)
 }
 
+// handleOverdue answers a request that has no answer past its deadline. Where this process was held up, the module's own timer may
+// not have had its turn yet: what it does then is done now. If that leaves the request open, it fails, which leaves open whether it
+// ran.
+func (req *activeRequest) handleOverdue() {
+	c := req.core
+	c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, uint64(req.ID)) })
+	if req.settleAs(Failed) {
+		c.log.Error("overdue", "id", req.ID, "txn", req.Label, "class", req.Class)
+		c.dispatch(func(now time.Duration, r *decide.Router) { r.ClientLeft(now, req.ID) })
+	}
+}
+
 // handleClientGone settles the request once its client has left, or closes the stream that nobody reads any more.
 func (req *activeRequest) handleClientGone() {
 	if req.settleAs(ClientGone) {
@@ -375,8 +388,8 @@
 	req.inFlight--
 	a.inFlight = false
 	var once sync.Once
-	req.answer <- Answer{Verdict: Streaming, Stream: e.Stream, Worker: a.To, StreamEnded: func(s decide.Status) {
-		once.Do(func() { a.cancel(errCancelled); req.streamEnd <- s })
+	req.answer <- Answer{Verdict: Streaming, Stream: e.Stream, Worker: a.To, StreamEnded: func(s decide.Status, why error) {
+		once.Do(func() { a.cancel(errCancelled); req.streamEnd <- streamEnd{s, why} })
 	}}
 	req.log(Streaming, a.To.ID)
 	req.cancelAttempts()
@@ -384,14 +397,19 @@
 
 // handleStreamEnd reports to the module how the answer's stream ended. A stream that broke is not resumed by a further
 // attempt: the client's connection ends with it, as the client has had its one answer.
-func (req *activeRequest) handleStreamEnd(status decide.Status) {
+func (req *activeRequest) handleStreamEnd(end streamEnd) {
 	req.streaming = false
+	status := end.status
 	if req.clientLeft && status != decide.Served {
 		status = decide.Cancelled // not counted against the worker: the client left
 	}
-	if status != decide.Served {
-		req.core.log.Info("stream broke off", "id", req.ID, "txn", req.Label, "worker", req.attempts[req.streamAttempt].To.ID, "status", statusName(status))
+	a := req.attempts[req.streamAttempt]
+	level, text := slog.LevelInfo, "stream broke off"
+	if status == decide.Served {
+		level, text = slog.LevelDebug, "stream ended"
 	}
+	req.core.log.Log(context.Background(), level, text, "id", req.ID, "txn", req.Label, "worker", a.To.ID, "status", statusName(status),
+		"took_ms", time.Since(a.began).Milliseconds(), "err", end.why)
 	req.reportOutcome(req.streamAttempt, Result{Status: status})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,8 +103,8 @@
 	RetryAfter time.Duration // Refused: when the client may try again, 0 = no advice
 	Stream     any           // Streaming: the transport's stream, see Result
 	Worker     Worker        // Streaming: the worker that streams
-	// StreamEnded reports how the stream ended. The front calls it once. Set with Streaming only.
-	StreamEnded func(decide.Status)
+	// StreamEnded reports how the stream ended, and why if it broke off. The front calls it once. Set with Streaming only.
+	StreamEnded func(status decide.Status, why error)
 }
 
 // Core is a router without its protocols. Create it with New. Its methods may be called from several goroutines.
@@ -243,7 +243,7 @@
 // release, the end of the stream) goes on in the background. ctx ends when the client leaves.
 func (c *Core) Serve(ctx context.Context, q decide.Request, transport Transport) Answer {
 	req := &activeRequest{core: c, client: ctx, transport: transport, arrived: time.Now(), commands: make(chan command, queueCapacity),
-		events: make(chan attemptEvent, queueCapacity), streamEnd: make(chan decide.Status, 1), answer: make(chan Answer, 1)}
+		events: make(chan attemptEvent, queueCapacity), streamEnd: make(chan streamEnd, 1), answer: make(chan Answer, 1)}
 	c.mu.Lock()
 	if c.stopping {
 		c.mu.Unlock()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -109,8 +109,8 @@
 	if a.Verdict != Streaming || a.Stream != "tokens" || a.Worker.ID != "w" {
 		t.Fatalf("got answer %+v, want a stream of worker w", a)
 	}
-	a.StreamEnded(decide.Served)
-	a.StreamEnded(decide.Reset) // ignored: only the first call counts
+	a.StreamEnded(decide.Served, nil)
+	a.StreamEnded(decide.Reset, nil) // ignored: only the first call counts
 	waitSettled(t, c)
 	if len(s.released) > 0 {
 		t.Error("a state that the writer fetched was released")
@@ -205,7 +205,7 @@
 	if a.Verdict != Streaming || a.Stream != "w2" {
 		t.Fatalf("got answer %+v, want a stream of worker w2", a)
 	}
-	a.StreamEnded(decide.Served)
+	a.StreamEnded(decide.Served, nil)
 	waitSettled(t, c)
 }
 
@@ -225,7 +225,7 @@
 	a := c.Serve(client, newRequest(unsafeClass, time.Second), s)
 	leave()
 	<-closed
-	a.StreamEnded(decide.Reset) // as a front reports a stream that is closed while it relays it
+	a.StreamEnded(decide.Reset, nil) // as a front reports a stream that is closed while it relays it
 	waitSettled(t, c)
 	if !strings.Contains(logText.String(), "status=cancelled") {
 		t.Errorf("a stream that its client left was not logged as cancelled: %s", logText.String())
@@ -542,7 +542,7 @@
 				if streams[0].Err() != nil {
 					t.Errorf("%v late: the client was given a stream that is cancelled", late)
 				}
-				a.StreamEnded(decide.Served)
+				a.StreamEnded(decide.Served, nil)
 			case late < 0:
 				t.Errorf("%v late: got verdict %v, want a stream", late, a.Verdict)
 			case a.Verdict == Refused:
--- a/internal/core/lateread_test.go
+++ b/internal/core/lateread_test.go
@@ -159,7 +159,7 @@
 			t.Fatalf("got answer %+v, want a stream", answer)
 		}
 		time.Sleep(100 * time.Millisecond)
-		answer.StreamEnded(decide.Served)
+		answer.StreamEnded(decide.Served, nil)
 		time.Sleep(2 * time.Second)
 		waitSettled(t, c)
 		s.check(t, "after the answer")
@@ -194,7 +194,7 @@
 			t.Errorf("verdict %d, %d releases before the read ended and %d until its state was fetched, want a stream and none in between", answer.Verdict, before, since-before)
 			return
 		}
-		answer.StreamEnded(decide.Served)
+		answer.StreamEnded(decide.Served, nil)
 		waitSettled(t, c)
 	})
 }
--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -553,7 +553,7 @@
 	x := d.streams[id]
 	onEnd := func(status decide.Status) {
 		s.releaseID()
-		answer.StreamEnded(status)
+		answer.StreamEnded(status, nil)
 	}
 	if x.endStatus != 0 {
 		delete(d.streams, id)
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -150,20 +150,20 @@
 		c, err := stream.Recv()
 		switch {
 		case err == io.EOF:
-			a.StreamEnded(decide.Served)
+			a.StreamEnded(decide.Served, nil)
 			return nil
 		case err != nil && streams.Err() != nil:
-			a.StreamEnded(decide.Cancelled)
+			a.StreamEnded(decide.Cancelled, err)
 			return status.Error(codes.DataLoss, "the router ends before the stream does")
 		case err != nil:
-			a.StreamEnded(decide.Reset)
+			a.StreamEnded(decide.Reset, err)
 			if out.Context().Err() != nil {
 				return status.FromContextError(out.Context().Err()).Err()
 			}
 			return status.Error(codes.DataLoss, "the stream broke")
 		}
 		if err := out.Send(c); err != nil {
-			a.StreamEnded(decide.Cancelled)
+			a.StreamEnded(decide.Cancelled, err)
 			return err
 		}
 		if first { // from now on, also while nothing comes from the worker
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +22,8 @@
 	clientWriteTimeout = 30 * time.Second       // a client that accepts no data for this long is disconnected
 )
 
+var errClientLeft = errors.New("the client has left, or takes nothing")
+
 // Stream is the type of core.Answer.Stream in this package: a worker's events as they were received.
 type Stream interface {
 	io.ReadCloser
@@ -33,7 +36,7 @@
 	Stream
 	front       *Front
 	id          string // of the request
-	onEnd       func(decide.Status)
+	onEnd       func(decide.Status, error)
 	client      *http.ResponseController
 	conn        *clientConn // nil if the answer is not chunked
 	stopCutting func() bool // set once some of the stream has passed, which it must before it is handed over or cut
@@ -51,7 +54,7 @@
 			return n, nil
 		}
 		if r.handOver() {
-			r.onEnd(decide.Served) // complete as far as the core is concerned
+			r.onEnd(decide.Served, nil) // complete as far as the core is concerned
 		}
 	}
 	if r.stopCutting == nil && n > 0 {
@@ -61,11 +64,11 @@
 	_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
 	switch {
 	case err == io.EOF:
-		r.onEnd(decide.Served)
+		r.onEnd(decide.Served, nil)
 	case err != nil && r.cut.Load(), err == errHandedOver:
-		r.onEnd(decide.Cancelled)
+		r.onEnd(decide.Cancelled, err)
 	case err != nil:
-		r.onEnd(decide.Reset)
+		r.onEnd(decide.Reset, err)
 	}
 	return n, err
 }
@@ -118,7 +121,7 @@
 		r.stopCutting()
 	}
 	_ = r.client.SetWriteDeadline(time.Time{}) // the connection may be reused
-	r.onEnd(decide.Cancelled)                  // has no effect if the stream has ended; otherwise the client has left
+	r.onEnd(decide.Cancelled, errClientLeft)   // has no effect if the stream has ended; otherwise the client has left
 	return r.Stream.Close()
 }
 
