The soak compares each stream with what its worker has sent

The soak spoilt answers by trailers without an end, and its judge said nothing of the last chunks that clients got for them: it knew only what clients saw. The workers' proxies now record what they pass on, and four rules compare it with what the client of a stream got: a last chunk only behind the worker's last byte; the end of a whole answer within 1 s; each event within 0.3 s; no cut while the worker still writes events.

New faults of answers: an end that is cut off behind any byte of it (FIN, reset, silence; with a trailer and without), an end that comes byte by byte, all events in one chunk that is delivered as they come, and a stream that is late by 4.2 to 4.7 s behind its first event.

--- a/internal/scale/faultproxy/answers.go
+++ b/internal/scale/faultproxy/answers.go
@@ -1,6 +1,6 @@
 package faultproxy
 
-// Faults of the server's answers: second answers, and answers without an end.
+// Faults of the server's answers: second answers, answers without an end, and answers whose end or events come in unusual ways.
 
 import (
 	"bytes"
@@ -33,18 +33,40 @@
 	CommentsBehindEvents
 	// TrailerBehindEvents sends a trailer without an end behind all of a stream's events.
 	TrailerBehindEvents
+	// EndCutOff breaks a stream off within its last chunk and trailer.
+	EndCutOff
+	// EndSlow sends a stream's last chunk and trailer byte by byte. The answer is whole.
+	EndSlow
+	// EventsInOneChunk sends all of a stream's events in one chunk, as they come. The answer is whole.
+	EventsInOneChunk
+	// EventLate holds a stream back behind its first event, for the delay. The answer is whole.
+	EventLate
+)
+
+// Break is how an answer is broken off.
+type Break int
+
+// The breaks.
+const (
+	BreakClose Break = iota
+	BreakReset
+	BreakSilence
+	breakCount
 )
 
 // The kinds of faults.
 var (
 	SecondAnswers  = []AnswerFault{AnswerTwice, AnswerThenRefusal}
 	EndlessAnswers = []AnswerFault{EndlessHead, EndlessInterim, EndlessComments, EndlessLine, CommentsBehindEvents, TrailerBehindEvents}
+	UnusualEnds    = []AnswerFault{EndCutOff, EndCutOff, EndSlow, EventsInOneChunk, EventLate}
 )
 
 // SpoiltAnswer is the fault of one answer.
 type SpoiltAnswer struct {
 	Fault AnswerFault
-	Delay time.Duration // of a second answer
+	Delay time.Duration // of a second answer, between the bytes of a slow end, or behind the first event
+	// Choice chooses where and how EndCutOff breaks off, and whether the end has a trailer.
+	Choice uint
 }
 
 const (
@@ -75,8 +97,12 @@
 	proxy  *Proxy
 	client *net.TCPConn
 
-	spoilt SpoiltAnswer
-	text   []byte // of the answer so far, if it is a spoilt one
+	spoilt    SpoiltAnswer
+	text      []byte  // of the answer so far, if it is a spoilt one
+	answer    *Answer // the record of the answer, nil without one
+	muted     bool    // nothing more passes on this connection
+	held      bool    // the stream was held back behind its first event
+	chunkLeft int     // bytes that are left of the one chunk that a stream's events are sent in, 0: there is none
 
 	mu sync.Mutex // held while writing to the client
 }
@@ -86,7 +112,7 @@
 	a.proxy.mu.Lock()
 	draw := a.proxy.drawAnswer
 	a.proxy.mu.Unlock()
-	a.spoilt, a.text = SpoiltAnswer{}, nil
+	a.spoilt, a.text, a.held, a.answer = SpoiltAnswer{}, nil, false, a.proxy.beginAnswer()
 	if draw != nil && (bytes.Contains(b, []byte(streamType)) || bytes.HasPrefix(b, []byte(readAnswerStart))) {
 		a.spoilt = draw()
 	}
@@ -94,6 +120,12 @@
 
 // Write implements io.Writer for what the server sends.
 func (a *answerSpoiler) Write(b []byte) (int, error) {
+	if a.muted {
+		return len(b), nil
+	}
+	if a.chunkLeft > 0 {
+		return len(b), a.continueOneChunk(string(b))
+	}
 	if bytes.HasPrefix(b, []byte(answerStart)) {
 		a.begin(b)
 	}
@@ -120,6 +152,15 @@
 		return a.endless(string(events), commentChunk)
 	case fault == TrailerBehindEvents && isStream && isLast:
 		return a.endless(string(events)+trailerStart, filler)
+	case fault == EndCutOff && isStream && isLast:
+		return a.cutOffEnd(string(events))
+	case fault == EndSlow && isStream && isLast:
+		return a.sendSlowEnd(string(events))
+	case fault == EventsInOneChunk && isStream:
+		return a.beginOneChunk(b)
+	case fault == EventLate && hasEvent && !a.held:
+		a.held = true
+		defer time.Sleep(a.spoilt.Delay)
 	}
 	err := a.send(string(b))
 	if whole := isLast && isStream || !isStream && bytes.HasSuffix(b, []byte("}")); whole && err == nil {
@@ -144,6 +185,7 @@
 func (a *answerSpoiler) send(text string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.proxy.record(a.answer, text)
 	_, err := io.WriteString(a.client, text)
 	return err
 }
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -62,6 +62,8 @@
 	stalled    int // number of open connections that have waited for the end of a stall
 	onStall    *sync.Cond
 	drawAnswer func() SpoiltAnswer // nil: answers pass unchanged
+	recording  bool                // answers are recorded
+	answers    []*Answer
 }
 
 // session is a client's connection and the corresponding one to the target.
@@ -320,7 +322,9 @@
 	if fromClient {
 		buffer = buffer[:s.proxy.readSize]
 	} else {
-		out = &answerSpoiler{proxy: s.proxy, client: to}
+		answers := &answerSpoiler{proxy: s.proxy, client: to}
+		defer func() { s.proxy.endAnswer(answers.answer) }()
+		out = answers
 	}
 	for {
 		if fromClient {
--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rowanyard/internal/scale/faultproxy"
 )
 
 // Rule is an invariant that is checked after a run.
@@ -22,6 +24,10 @@
 	RuleEndHeeded            Rule = "no request reaches a worker whole after its end"
 	RuleOwnText              Rule = "a response holds what a worker made for its request"
 	RuleStreamEnds           Rule = "no client waits 5 s after the last event"
+	RuleWholeOnly            Rule = "a client gets the last chunk only behind its worker's last byte"
+	RuleEndPassed            Rule = "the end of a worker's answer is passed on"
+	RuleEventsPassed         Rule = "events are passed on as they come"
+	RuleNotCutOff            Rule = "a stream whose worker still writes events is not cut off"
 	RuleReadyInTime          Rule = "a router process is ready in time"
 	RuleResourcesBounded     Rule = "memory and descriptors stay within their limits"
 	RuleNoCrash              Rule = "no router process exits by itself"
@@ -94,12 +100,19 @@
 	standstills      []standstill
 	routers          []*router
 	eventsByID       map[string][]event
+	answers          map[string][]workerAnswer // to writes, by request
+	lateness         time.Duration             // Report.Lateness
 }
 
 func (d *deployment) checkInvariants() Report {
 	rec := &records{events: d.ledger.snapshot(), requests: d.requestLog.finished, healthChanges: d.healthChanges,
 		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, networkDelays: d.networkDelays, standstills: d.standstills, routers: d.routers,
-		eventsByID: make(map[string][]event)}
+		eventsByID: make(map[string][]event), lateness: d.lateness}
+	var answers []faultproxy.Answer
+	for _, w := range d.workers {
+		answers = append(answers, w.proxy.Answers()...)
+	}
+	rec.answers = parseAnswers(answers)
 	for _, e := range rec.events {
 		rec.eventsByID[e.id] = append(rec.eventsByID[e.id], e)
 	}
@@ -124,7 +137,7 @@
 		}
 	}
 	for _, rule := range []func(*records) []Violation{checkAnswers, checkEffects, checkStates, checkDrains, checkDisconnects,
-		checkDeadlines, checkEnds, checkTexts, checkRouters} {
+		checkDeadlines, checkEnds, checkTexts, checkStreams, checkRouters} {
 		report.Violations = append(report.Violations, rule(rec)...)
 	}
 	for i := range report.Violations {
--- a/internal/scale/soak/client.go
+++ b/internal/scale/soak/client.go
@@ -25,6 +25,7 @@
 	status            int           // 0: no response came
 	complete          bool          // the response was received to its end
 	answeredAt        time.Time     // when the head of its response came; zero: none came
+	eventsAt          []time.Time   // when each event of its response came
 	lastEventAt       time.Time     // when the last event of its response came; zero: none came
 	foreignEvents     int           // events of the response with another request's text
 	readSlowly        bool          // by its client
@@ -210,6 +211,7 @@
 		line, err := lines.ReadString('\n')
 		if strings.HasPrefix(line, "data:") {
 			s.lastEventAt = time.Now()
+			s.eventsAt = append(s.eventsAt, s.lastEventAt)
 			if strings.Contains(line, contentField) && !strings.Contains(line, own) {
 				s.foreignEvents++
 			}
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -199,7 +199,9 @@
 	d.mu.Unlock()
 	address := strings.TrimSpace(line)
 	if w.proxy == nil {
-		w.proxy, err = faultproxy.StartSmall(address)
+		if w.proxy, err = faultproxy.StartSmall(address); err == nil && w.kind == "writer" {
+			w.proxy.RecordAnswers()
+		}
 		return err
 	}
 	w.proxy.Retarget(address)
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -47,7 +47,7 @@
 	Flood             FaultKind = "flood"               // clients of one router send at full speed
 	SlowCrowd         FaultKind = "slow crowd"          // many clients of one router are slow
 	WorkersStall      FaultKind = "workers stall"       // many at once read no more in the middle of requests, with small receive buffers
-	AnswersSpoilt     FaultKind = "answers spoilt"      // some answers of all workers come twice, or have no end
+	AnswersSpoilt     FaultKind = "answers spoilt"      // some answers of all workers come twice, have no end, or end in unusual ways
 )
 
 // Fault is one fault of a schedule. It begins at At, counted from the start of the workload, and lasts for Duration.
@@ -107,7 +107,11 @@
 	faultsOfEnds          = 2 // of each kind, in each schedule
 	minSpoiltShare        = 5 // percent of the answers
 	maxSpoiltShare        = 40
-	endlessOneIn          = 6 // spoilt answers have no end, the others come twice
+	endlessOneIn          = 6 // spoilt answers have no end
+	secondOneIn           = 2 // of the others come twice, and the rest end in unusual ways
+	maxEndByteDelay       = 200 * time.Millisecond
+	minEventDelay         = 4200 * time.Millisecond
+	maxEventDelay         = 4700 * time.Millisecond
 	minSecondAnswerDelay  = 3 * time.Millisecond
 	maxSecondAnswerDelay  = 20 * time.Millisecond
 	minBytesBeforeStall   = 100
@@ -245,12 +249,17 @@
 		if random.IntN(100) >= f.Amount {
 			return faultproxy.SpoiltAnswer{}
 		}
-		kind := faultproxy.SecondAnswers[random.IntN(len(faultproxy.SecondAnswers))]
+		kinds, minDelay, maxDelay := faultproxy.UnusualEnds, minSecondAnswerDelay, maxEndByteDelay
 		if random.IntN(endlessOneIn) == 0 {
-			kind = faultproxy.EndlessAnswers[random.IntN(len(faultproxy.EndlessAnswers))]
+			kinds = faultproxy.EndlessAnswers
+		} else if random.IntN(secondOneIn) == 0 {
+			kinds, maxDelay = faultproxy.SecondAnswers, maxSecondAnswerDelay
 		}
-		return faultproxy.SpoiltAnswer{Fault: kind,
-			Delay: minSecondAnswerDelay + time.Duration(random.Int64N(int64(maxSecondAnswerDelay-minSecondAnswerDelay)))}
+		kind := kinds[random.IntN(len(kinds))]
+		if kind == faultproxy.EventLate {
+			minDelay, maxDelay = minEventDelay, maxEventDelay
+		}
+		return faultproxy.SpoiltAnswer{Fault: kind, Choice: uint(random.Uint32()), Delay: minDelay + time.Duration(random.Int64N(int64(maxDelay-minDelay)))}
 	}
 }
 
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rowanyard/internal/scale/clockstep"
+	"rowanyard/internal/scale/faultproxy"
 )
 
 var (
@@ -39,7 +40,8 @@
 }
 
 // endRules are the rules on how requests end.
-var endRules = []Rule{RuleAnsweredOnce, RuleAtMostOnce, RuleDisconnectRespected, RuleEndHeeded, RuleOwnText, RuleStreamEnds, RuleNoCrash, RuleNoInvariantViolation}
+var endRules = []Rule{RuleAnsweredOnce, RuleAtMostOnce, RuleDisconnectRespected, RuleEndHeeded, RuleOwnText, RuleStreamEnds, RuleWholeOnly, RuleEndPassed, RuleEventsPassed,
+	RuleNotCutOff, RuleNoCrash, RuleNoInvariantViolation}
 
 // Each request ends once and in time, with what was made for it, and nothing of it goes on, beside random faults. Two of the seeds
 // have a handful of processes.
@@ -99,8 +101,28 @@
 // newRecords returns the records of one successful request at a router that keeps running.
 func newRecords() *records {
 	s := &clientRequest{id: "a", nonIdempotent: true, at: recordTime(0), firstTokenTimeout: time.Second,
-		ended: recordTime(500), answeredAt: recordTime(300), lastEventAt: recordTime(500), status: 200, complete: true, incarnations: [2]int{1, 1}}
-	return &records{requests: []*clientRequest{s}, routers: []*router{{processes: 1}}, eventsByID: make(map[string][]event)}
+		ended: recordTime(500), answeredAt: recordTime(300), lastEventAt: recordTime(500), status: 200, complete: true, incarnations: [2]int{1, 1}, eventsAt: []time.Time{recordTime(310), recordTime(410)}}
+	return &records{requests: []*clientRequest{s}, routers: []*router{{processes: 1}}, eventsByID: make(map[string][]event),
+		answers: parseAnswers([]faultproxy.Answer{recordedAnswer})}
+}
+
+// recordedAnswer is what a proxy records of the answer to that request.
+var recordedAnswer = faultproxy.Answer{Pieces: []faultproxy.Piece{
+	{Text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", At: recordTime(300)},
+	{Text: "24\r\ndata: {\"delta\":{\"content\":\"a.0\"}}\n", At: recordTime(301)},
+	{Text: "\n\r\n", At: recordTime(305)},
+	{Text: "9\r\n: note\n\n\r\n16\r\ndata: [DONE]\n\n\r\n", At: recordTime(405)},
+	{Text: "0\r\nX-Trailer: x\r\n", At: recordTime(406)},
+	{Text: "\r\nHTTP/1.1 503 X\r\n\r\n", At: recordTime(420)},
+}}
+
+// A recorded answer is read to its end, with the times at which its events and its last byte have passed.
+func TestRecordedAnswersAreParsed(t *testing.T) {
+	id, parsed, ok := parseAnswer(recordedAnswer)
+	want := workerAnswer{events: []time.Time{recordTime(305), recordTime(405)}, wholeAt: recordTime(420)}
+	if id != "a" || !ok || !reflect.DeepEqual(parsed, want) {
+		t.Errorf("%q %v: %+v, want %+v", id, ok, parsed, want)
+	}
 }
 
 func (rec *records) withEvents(events ...event) *records {
@@ -125,7 +147,8 @@
 // Each check detects a violation of its invariant, and none reports one for a run without faults.
 func TestChecksDetectViolations(t *testing.T) {
 	rules := map[Rule]func(*records) []Violation{RuleAnsweredOnce: checkAnswers, RuleAtMostOnce: checkEffects, RuleStateReleased: checkStates, RuleDrainRespected: checkDrains,
-		RuleDisconnectRespected: checkDisconnects, RuleDeadlinePropagated: checkDeadlines, RuleEndHeeded: checkEnds, RuleOwnText: checkTexts, RuleStreamEnds: checkTexts, RuleNoInvariantViolation: checkRouters, RuleNoCrash: checkRouters, RuleReadyInTime: checkRouters, RuleResourcesBounded: checkRouters}
+		RuleDisconnectRespected: checkDisconnects, RuleDeadlinePropagated: checkDeadlines, RuleEndHeeded: checkEnds, RuleOwnText: checkTexts, RuleStreamEnds: checkTexts, RuleWholeOnly: checkStreams, RuleEndPassed: checkStreams, RuleEventsPassed: checkStreams, RuleNotCutOff: checkStreams,
+		RuleNoInvariantViolation: checkRouters, RuleNoCrash: checkRouters, RuleReadyInTime: checkRouters, RuleResourcesBounded: checkRouters}
 	for rule, check := range rules {
 		if found := check(newRecords().withEvents(normalEvents()...)); len(found) > 0 {
 			t.Errorf("%s: found %v", rule, found)
@@ -180,6 +203,19 @@
 		"a wait without events": {RuleStreamEnds, func(rec *records) {
 			rec.requests[0].lastEventAt, rec.requests[0].ended = recordTime(300), recordTime(5400)
 		}},
+		"an end before the worker's last byte":   {RuleWholeOnly, func(rec *records) { rec.answers["a"][0].wholeAt = recordTime(501) }},
+		"an end of an answer that was not whole": {RuleWholeOnly, func(rec *records) { rec.answers["a"][0].wholeAt = time.Time{} }},
+		"an end that is passed on late":          {RuleEndPassed, func(rec *records) { rec.requests[0].ended = recordTime(1600) }},
+		"a whole answer that is broken off":      {RuleEndPassed, func(rec *records) { rec.requests[0].complete = false }},
+		"an event that is held": {RuleEventsPassed, func(rec *records) {
+			rec.requests[0].eventsAt[1], rec.requests[0].ended = recordTime(900), recordTime(900)
+		}},
+		"an event that is not passed on": {RuleEventsPassed, func(rec *records) {
+			rec.requests[0].eventsAt, rec.requests[0].ended = rec.requests[0].eventsAt[:1], recordTime(900)
+		}},
+		"a stream that is cut off": {RuleNotCutOff, func(rec *records) {
+			rec.requests[0].complete, rec.requests[0].ended, rec.answers["a"][0].wholeAt = false, recordTime(4600), time.Time{}
+		}},
 		"invariant violation in the log": {RuleNoInvariantViolation,
 			func(rec *records) { rec.routers[0].Write([]byte("msg=\"invariant violated\" step=closing\n")) }},
 		"a process that exits by itself": {RuleNoCrash, func(rec *records) { rec.routers[0].crashed = []string{"exit status 2"} }},
