--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -65,6 +65,13 @@
 	})
 }
 
+// CloseByReset closes a connection and discards what its peer has not acknowledged. The reset tells the peer that it has not got
+// everything.
+func CloseByReset(c net.Conn) error {
+	_ = setResetOnClose(c, true) // without it the connection is closed all the same
+	return c.Close()
+}
+
 // ErrNotASocket is returned for connections without a descriptor.
 var ErrNotASocket = errors.New("not a socket")
 
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -47,6 +47,8 @@
 	// handOverFailed is set if the socket may also be in the queue of a process that stands still. The connection then has
 	// to be ended before it is closed.
 	handOverFailed atomic.Bool
+	// answerBroken is set if the current answer broke off and only the end of the connection marks its end.
+	answerBroken atomic.Bool
 
 	pipelined      atomic.Int32    // pipelined requests read after the current one
 	answerComplete atomic.Bool     // refusals may follow the current request's answer
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -131,6 +131,9 @@
 		shutDown(c.Conn)
 		return c.Conn.Close()
 	}
+	if c.answerBroken.Load() {
+		return delivery.CloseByReset(c.Conn)
+	}
 	if owed == "" && !answered || c.socket.isPaused() { // a paused socket is that of another process
 		return c.Conn.Close()
 	}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -317,10 +317,8 @@
 				res.Header.Set(name, v)
 			}
 		}
-		res.Body = &relay{Stream: s, front: t.front, id: parsed.q.Label, onEnd: a.StreamEnded, client: parsed.client}
-		if out.ProtoAtLeast(1, 1) {
-			res.Body.(*relay).conn = conn
-		}
+		res.Body = &relay{Stream: s, front: t.front, id: parsed.q.Label, onEnd: a.StreamEnded, client: parsed.client, conn: conn,
+			chunked: out.ProtoAtLeast(1, 1)}
 	case core.Refused:
 		res.StatusCode = http.StatusServiceUnavailable
 		setRetryAfter(res.Header, a.RetryAfter)
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -38,7 +38,8 @@
 	id          string // of the request
 	onEnd       func(decide.Status, error)
 	client      *http.ResponseController
-	conn        *clientConn // nil if the answer is not chunked
+	conn        *clientConn // nil if the client's connection is none
+	chunked     bool        // so is the answer to the client; the end of the connection ends it otherwise
 	stopCutting func() bool // set once some of the stream has passed, which it must before it is handed over or cut
 	cut         atomic.Bool
 	handedOver  bool // the next Read returns errHandedOver
@@ -60,6 +61,9 @@
 	if r.stopCutting == nil && n > 0 {
 		r.stopCutting = context.AfterFunc(r.front.cutCtx, r.handOverOrCut)
 	}
+	if err != nil && err != io.EOF && !r.chunked && r.conn != nil {
+		r.conn.answerBroken.Store(true)
+	}
 	// A client that stops reading would otherwise hold its stream, and a slot at the writer, for good.
 	_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
 	switch {
@@ -77,7 +81,7 @@
 // the rest, and goes on in this process otherwise.
 func (r *relay) handOverOrCut() {
 	s, ok := r.Stream.(*stream)
-	if ok && r.conn != nil && r.front.successorPath.get() != "" && s.requestHandOver() || !r.front.CutStreams {
+	if ok && r.conn != nil && r.chunked && r.front.successorPath.get() != "" && s.requestHandOver() || !r.front.CutStreams {
 		return
 	}
 	// The clients of cut streams send their prompts again to request the rest; all at once they would overload the other
--- a/internal/httpfront/wholestream_test.go
+++ b/internal/httpfront/wholestream_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -286,3 +288,23 @@
 		})
 	}
 }
+
+// A client of HTTP/1.0 is told the end of its answer by the close of the connection, and gets a reset where the answer broke off.
+func TestBrokenAnswerOfHTTP10ClientEndsWithReset(t *testing.T) {
+	for _, broken := range []bool{true, false} {
+		answers := make(chan string, 2)
+		f, _ := newFrontWithTarget(t, cutWorker(t, answers, false), time.Hour)
+		answers <- "HTTP/1.1 202 X\r\nContent-Length: 2\r\n\r\n{}"
+		answer := chunkedHead + firstEventChunk + restOfAnswer
+		if broken {
+			answer = answer[:len(answer)-1]
+		}
+		answers <- answer
+		request := strings.Replace(requestText("x", contentLength(requestBody), requestBody), "HTTP/1.1", "HTTP/1.0", 1)
+		client := dialAndSend(t, serveOnTCP(t, f, 9), request)
+		text, err := io.ReadAll(client)
+		if errors.Is(err, syscall.ECONNRESET) != broken || !broken && (err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n")) {
+			t.Errorf("broken %v: %q %v", broken, text, err)
+		}
+	}
+}
--- a/internal/scale/faultproxy/answers.go
+++ b/internal/scale/faultproxy/answers.go
@@ -37,7 +37,7 @@
 	EndCutOff
 	// EndSlow sends a stream's last chunk and trailer byte by byte. The answer is whole.
 	EndSlow
-	// EventsInOneChunk sends all of a stream's events in one chunk, as they come. The answer is whole.
+	// EventsInOneChunk sends all of a stream's events in one chunk, each of them later by the delay. The answer is whole.
 	EventsInOneChunk
 	// EventLate holds a stream back behind its first event, for the delay. The answer is whole.
 	EventLate
@@ -64,7 +64,7 @@
 // SpoiltAnswer is the fault of one answer.
 type SpoiltAnswer struct {
 	Fault AnswerFault
-	Delay time.Duration // of a second answer, between the bytes of a slow end, or behind the first event
+	Delay time.Duration // of a second answer, between the bytes of a slow end or the events of one chunk, or behind the first event
 	// Choice chooses where and how EndCutOff breaks off, and whether the end has a trailer.
 	Choice uint
 }
--- a/internal/scale/faultproxy/ends.go
+++ b/internal/scale/faultproxy/ends.go
@@ -88,5 +88,6 @@
 		text += paddingStart + strings.Repeat(filler, a.chunkLeft-len(paddingStart)-len(paddingEnd)) + paddingEnd + "\r\n" + a.spoilt.end()
 		a.chunkLeft = 0
 	}
+	time.Sleep(a.spoilt.Delay)
 	return a.send(text)
 }
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -110,6 +110,7 @@
 	endlessOneIn          = 6 // spoilt answers have no end
 	secondOneIn           = 2 // of the others come twice, and the rest end in unusual ways
 	maxEndByteDelay       = 200 * time.Millisecond
+	minChunkEventDelay    = 100 * time.Millisecond
 	minEventDelay         = 4200 * time.Millisecond
 	maxEventDelay         = 4700 * time.Millisecond
 	minSecondAnswerDelay  = 3 * time.Millisecond
@@ -256,8 +257,11 @@
 			kinds, maxDelay = faultproxy.SecondAnswers, maxSecondAnswerDelay
 		}
 		kind := kinds[random.IntN(len(kinds))]
-		if kind == faultproxy.EventLate {
+		switch kind {
+		case faultproxy.EventLate:
 			minDelay, maxDelay = minEventDelay, maxEventDelay
+		case faultproxy.EventsInOneChunk:
+			minDelay = minChunkEventDelay
 		}
 		return faultproxy.SpoiltAnswer{Fault: kind, Choice: uint(random.Uint32()), Delay: minDelay + time.Duration(random.Int64N(int64(maxDelay-minDelay)))}
 	}
