--- a/internal/httpfront/wholestream_test.go
+++ b/internal/httpfront/wholestream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -308,3 +309,26 @@
 		}
 	}
 }
+
+// The body of an answer, and whether it is whole, do not depend on how its bytes are divided, on their way or by who reads them.
+func TestChunkedBodyIsTheSameHoweverItIsRead(t *testing.T) {
+	large := "data: " + strings.Repeat("x", 50_000) + "\n\n"
+	events := firstEvent + strings.Repeat(large, 4) + restOfEvents
+	answer := chunkedHead + chunk(events[:1]) + chunk(events[1:9]) + chunk(events[9:150_000]) + chunk(events[150_000:]) + "0\r\nX: y\r\n\r\n"
+	for _, cut := range []int{len(answer), len(answer) - 1, len(answer) - len("\r\n"), len(answer) - 20} {
+		for _, maxRead := range []int{1, 7, 500, 1 << 20} {
+			for _, buffer := range []int{16, minChunkBuffer - 1, minChunkBuffer, 4 << 10, 1 << 20} {
+				conn := &workerConn{Conn: bytesConn{in: strings.NewReader(answer[:cut]), maxRead: maxRead}, openConns: new(atomic.Int64), done: make(chan struct{})}
+				conn.awaitingAnswer.Store(true)
+				res, err := http.ReadResponse(bufio.NewReaderSize(conn, buffer), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				text, err := io.ReadAll(res.Body)
+				if (err == nil) != (cut == len(answer)) || !strings.HasPrefix(events, string(text)) || cut > len(answer)-20 && len(text) != len(events) {
+					t.Errorf("%d of %d bytes, %d at a time into %d: %d bytes, %v", cut, len(answer), maxRead, buffer, len(text), err)
+				}
+			}
+		}
+	}
+}
