--- a/internal/httpfront/bench_test.go
+++ b/internal/httpfront/bench_test.go
@@ -17,6 +17,24 @@
 
 // BenchmarkCalmRequest measures a request on a kept connection, with workers that answer at once and no other clients.
 func BenchmarkCalmRequest(b *testing.B) {
+	benchmarkRequest(b, func(w http.ResponseWriter) { io.WriteString(w, "data: {}\n\ndata: [DONE]\n\n") })
+}
+
+// BenchmarkStreamedRequest measures a request whose answer has many events, each in a chunk of its own.
+func BenchmarkStreamedRequest(b *testing.B) {
+	const events = 200
+	benchmarkRequest(b, func(w http.ResponseWriter) {
+		for range events {
+			io.WriteString(w, `data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}`+"\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		io.WriteString(w, "data: [DONE]\n\n")
+	})
+}
+
+func benchmarkRequest(b *testing.B, write func(http.ResponseWriter)) {
+	b.Helper()
+	b.ReportAllocs()
 	var calls atomic.Int64
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -26,7 +44,7 @@
 			w.WriteHeader(http.StatusAccepted)
 			io.WriteString(w, `{"cached_tokens":12}`)
 		default:
-			io.WriteString(w, "data: {}\n\ndata: [DONE]\n\n")
+			write(w)
 		}
 	}))
 	defer worker.Close()
--- a/internal/scale/faultproxy/answers.go
+++ b/internal/scale/faultproxy/answers.go
@@ -96,6 +96,7 @@
 type answerSpoiler struct {
 	proxy  *Proxy
 	client *net.TCPConn
+	ended  <-chan struct{} // closed as the session is reset
 
 	spoilt    SpoiltAnswer
 	text      []byte  // of the answer so far, if it is a spoilt one
@@ -160,7 +161,7 @@
 		return a.beginOneChunk(b)
 	case fault == EventLate && hasEvent && !a.held:
 		a.held = true
-		defer time.Sleep(a.spoilt.Delay)
+		defer a.pause()
 	}
 	err := a.send(string(b))
 	if whole := isLast && isStream || !isStream && bytes.HasSuffix(b, []byte("}")); whole && err == nil {
@@ -182,6 +183,14 @@
 	time.AfterFunc(a.spoilt.Delay, func() { _ = a.send(second) })
 }
 
+// pause waits for the delay, or until the session is reset.
+func (a *answerSpoiler) pause() {
+	select {
+	case <-time.After(a.spoilt.Delay):
+	case <-a.ended:
+	}
+}
+
 func (a *answerSpoiler) send(text string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/scale/faultproxy/ends.go
+++ b/internal/scale/faultproxy/ends.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http/httputil"
 	"strings"
-	"time"
 )
 
 const (
@@ -53,7 +52,7 @@
 	err := a.send(events)
 	for _, b := range strings.SplitAfter(a.spoilt.end(), "") {
 		if err == nil {
-			time.Sleep(a.spoilt.Delay)
+			a.pause()
 			err = a.send(b)
 		}
 	}
@@ -88,6 +87,6 @@
 		text += paddingStart + strings.Repeat(filler, a.chunkLeft-len(paddingStart)-len(paddingEnd)) + paddingEnd + "\r\n" + a.spoilt.end()
 		a.chunkLeft = 0
 	}
-	time.Sleep(a.spoilt.Delay)
+	a.pause()
 	return a.send(text)
 }
--- a/internal/scale/faultproxy/ends_test.go
+++ b/internal/scale/faultproxy/ends_test.go
@@ -78,3 +78,19 @@
 	var network *net.OpError
 	return errors.As(err, &network)
 }
+
+// A reset ends an answer that is held back, and its record says when.
+func TestResetEndsHeldAnswer(t *testing.T) {
+	p := startStreamServer(t)
+	p.SetAnswers(func() SpoiltAnswer { return SpoiltAnswer{Fault: EventLate, Delay: time.Hour} })
+	res, err := http.Get("http://" + p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Reset()
+	_, _ = io.Copy(io.Discard, res.Body)
+	p.Close()
+	if answers := p.Answers(); len(answers) != 1 || answers[0].EndedAt.IsZero() {
+		t.Errorf("recorded %v", answers)
+	}
+}
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -70,6 +70,8 @@
 type session struct {
 	proxy              *Proxy
 	client, server     *net.TCPConn
+	ended              chan struct{} // closed by endOnce once the session is reset
+	endOnce            sync.Once
 	bytesBeforeSilence int  // bytes from the client that still pass during a silence or a stall
 	silenced           bool // SilenceOpen has silenced this session for good
 	lossy              bool // bytes were lost to a silence
@@ -282,7 +284,7 @@
 		client.Close()
 		return
 	}
-	s := &session{proxy: p, client: client, server: upstream.(*net.TCPConn)}
+	s := &session{proxy: p, client: client, server: upstream.(*net.TCPConn), ended: make(chan struct{})}
 	p.mu.Lock()
 	if p.closed {
 		s.reset()
@@ -309,6 +311,7 @@
 
 // reset closes both connections with a TCP reset.
 func (s *session) reset() {
+	s.endOnce.Do(func() { close(s.ended) })
 	for _, c := range []*net.TCPConn{s.client, s.server} {
 		_ = c.SetLinger(0)
 		c.Close()
@@ -322,7 +325,7 @@
 	if fromClient {
 		buffer = buffer[:s.proxy.readSize]
 	} else {
-		answers := &answerSpoiler{proxy: s.proxy, client: to}
+		answers := &answerSpoiler{proxy: s.proxy, client: to, ended: s.ended}
 		defer func() { s.proxy.endAnswer(answers.answer) }()
 		out = answers
 	}
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -214,7 +214,7 @@
 			rec.requests[0].eventsAt, rec.requests[0].ended = rec.requests[0].eventsAt[:1], recordTime(900)
 		}},
 		"a stream that is cut off": {RuleNotCutOff, func(rec *records) {
-			rec.requests[0].complete, rec.requests[0].ended, rec.answers["a"][0].wholeAt = false, recordTime(4600), time.Time{}
+			rec.requests[0].complete, rec.requests[0].ended, rec.answers["a"][0].wholeAt = false, recordTime(5200), time.Time{}
 		}},
 		"invariant violation in the log": {RuleNoInvariantViolation,
 			func(rec *records) { rec.routers[0].Write([]byte("msg=\"invariant violated\" step=closing\n")) }},
--- a/internal/scale/soak/streamchecks.go
+++ b/internal/scale/soak/streamchecks.go
@@ -15,9 +15,8 @@
 const (
 	eventDelayLimit = 300 * time.Millisecond // until an event is passed on
 	endDelayLimit   = time.Second            // until the end of an answer is passed on
-	// workerPatience is how long after a worker's last event its stream must not be cut off: 5 s, less 0.5 s for a router that has to
-	// end it before them.
-	workerPatience = clientPatience - 500*time.Millisecond
+	// workerPatience is how long after a worker's last event its stream must not be cut off: almost as long as its client may wait.
+	workerPatience = clientPatience - 150*time.Millisecond
 )
 
 // workerAnswer is an answer to a write as its worker's proxy has passed it on.
