--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -408,8 +408,10 @@
 	if status == decide.Served {
 		level, text = slog.LevelDebug, "stream ended"
 	}
-	req.core.log.Log(context.Background(), level, text, "id", req.ID, "txn", req.Label, "worker", a.To.ID, "status", statusName(status),
-		"took_ms", time.Since(a.began).Milliseconds(), "err", end.why)
+	if log := req.core.log; log.Enabled(context.Background(), level) {
+		log.Log(context.Background(), level, text, "id", req.ID, "txn", req.Label, "worker", a.To.ID, "status", statusName(status),
+			"took_ms", time.Since(a.began).Milliseconds(), "err", end.why)
+	}
 	req.reportOutcome(req.streamAttempt, Result{Status: status})
 }
 
--- a/internal/delivery/socket.go
+++ b/internal/delivery/socket.go
@@ -39,18 +39,14 @@
 	return bytes, err == nil
 }
 
-// SinceInput returns how long ago the last input of c reached this machine, whether it has been read or not. ok is false where the
+// SinceInput returns how long ago the last input of a socket reached this machine, whether it has been read or not. It is 0 where the
 // system does not tell.
-func SinceInput(c net.Conn) (age time.Duration, ok bool) {
-	var info *unix.TCPInfo
-	err := Control(c, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
+func SinceInput(fd int) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
-		return 0, false
+		return 0
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
 // setResetOnClose sets whether the end of the connection, by a close or by the end of this process, discards what the peer has
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"rowanyard/internal/delivery"
 	"rowanyard/internal/inbound"
 )
 
@@ -65,6 +64,7 @@
 	counter     pipelineCounter // of the requests in buf behind the current one
 	firstByteAt time.Time       // when the first byte of buf was read
 	lastReadAt  time.Time       // when bytes were last read from the socket
+	inputAge    time.Duration   // how long the bytes at the start of buf had waited to be read, at least
 	deliverable int             // length of the part of buf that may be returned
 	bodyLeft    int64           // bytes of the request's body that are not ready to be returned yet
 	chunks      *chunkScanner   // scans a chunked body, nil if there is none
@@ -165,6 +165,9 @@
 	return n, seenAt, err
 }
 
+// readsNewHead reports whether what is read next is the beginning of a head.
+func (c *clientConn) readsNewHead() bool { return len(c.buf) == 0 && c.bodyLeft == 0 && c.chunks == nil }
+
 // readSocket reads from the socket. It fails with net.ErrClosed once the connection was closed. endsTurn is false if the turn
 // that the connection has is that of a request that is being handled.
 func (c *clientConn) readSocket(p []byte, endsTurn bool) (int, error) {
@@ -397,8 +400,8 @@
 		c.lastReadAt = time.Now()
 		if len(c.buf) == 0 {
 			c.firstByteAt = c.lastReadAt
-			if age, ok := delivery.SinceInput(c.Conn); ok && age > heldUpTolerance { // it waited for this process
-				c.firstByteAt = c.lastReadAt.Add(-age)
+			if c.inputAge > heldUpTolerance { // it waited for this process
+				c.firstByteAt = c.lastReadAt.Add(-c.inputAge)
 			}
 			if !seenAt.IsZero() && seenAt.Before(c.firstByteAt) { // ... and more has come meanwhile
 				c.firstByteAt = seenAt
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -91,6 +91,9 @@
 		return 0, inbound.ErrNothingYet // wait for the close
 	}
 	n, err = inbound.ReadOnce(fd, p)
+	if n > 0 && c.readsNewHead() {
+		c.inputAge = delivery.SinceInput(fd)
+	}
 	c.socket.requestPending = c.socket.requestPending || n > 0
 	return n, err
 }
--- a/internal/httpfront/deadline_test.go
+++ b/internal/httpfront/deadline_test.go
@@ -133,9 +133,8 @@
 		t.Fatal(err)
 	}
 	for age := time.Duration(0); age < wait; {
-		var ok bool
-		if age, ok = delivery.SinceInput(there); !ok {
-			t.Fatal("the system does not tell when input came")
+		if err := delivery.Control(there, func(fd int) error { age = delivery.SinceInput(fd); return nil }); err != nil {
+			t.Fatal(err)
 		}
 	}
 	c := &clientConn{Conn: there, owner: newClientListener(nil, 1, 0, nil, discardLogger)}
--- a/internal/httpfront/streamscan.go
+++ b/internal/httpfront/streamscan.go
@@ -122,8 +122,10 @@
 	isComment  bool   // the line is a comment
 	hasData    bool   // the current event has a line of data
 	events     int    // events with data that are complete
-	data       []byte // the start of the current line's value if it is one of data
 	endMark    bool   // the latest line of data is the end mark
+
+	value      [maxEndMarkBytes + 1]byte // the start of the current line's value if it is one of data
+	valueBytes int                       // how much of it there is
 }
 
 const (
@@ -149,9 +151,9 @@
 				}
 			} else if string(s.namePrefix) == dataField {
 				s.hasData = true
-				s.endMark = string(bytes.TrimSpace(s.data)) == endMark
+				s.endMark = string(bytes.TrimSpace(s.value[:s.valueBytes])) == endMark
 			}
-			*s = eventScanner{namePrefix: s.namePrefix[:0], data: s.data[:0], hasData: s.hasData, events: s.events, endMark: s.endMark}
+			*s = eventScanner{namePrefix: s.namePrefix[:0], hasData: s.hasData, events: s.events, endMark: s.endMark}
 			continue
 		}
 		if s.lineBytes++; s.lineBytes > maxEventBytes {
@@ -163,8 +165,9 @@
 			if b < ' ' && b != '\t' && b != '\r' {
 				return i, blank, malformed("control character in an event line")
 			}
-			if len(s.data) <= maxEndMarkBytes && string(s.namePrefix) == dataField {
-				s.data = append(s.data, b)
+			if s.valueBytes < len(s.value) && string(s.namePrefix) == dataField {
+				s.value[s.valueBytes] = b
+				s.valueBytes++
 			}
 		case b == ':':
 			s.isComment = len(s.namePrefix) == 0
