--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -111,8 +111,8 @@
 	secondOneIn           = 2 // of the others come twice, and the rest end in unusual ways
 	maxEndByteDelay       = 200 * time.Millisecond
 	minChunkEventDelay    = 100 * time.Millisecond
-	minEventDelay         = 4200 * time.Millisecond
-	maxEventDelay         = 4700 * time.Millisecond
+	minEventDelay         = 4550 * time.Millisecond
+	maxEventDelay         = 4750 * time.Millisecond
 	minSecondAnswerDelay  = 3 * time.Millisecond
 	maxSecondAnswerDelay  = 20 * time.Millisecond
 	minBytesBeforeStall   = 100
