Clients that come anew keep nobody from a turn to be read

Turns go to the clients that have used least, and those that come anew have used nothing, so that a client of before with one request of 1 ms came after all of them.

Every second turn now goes to the client that has waited longest. A client that has used little still waits for a turn or two.

TestNewcomersKeepNobodyFromItsTurn failed before (5 s, as long as it looked) and passes; TestCalmConnectionGoesAheadOfFloods passes as it did.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -166,7 +166,9 @@
 }
 
 // readsNewHead reports whether what is read next is the beginning of a head.
-func (c *clientConn) readsNewHead() bool { return len(c.buf) == 0 && c.bodyLeft == 0 && c.chunks == nil }
+func (c *clientConn) readsNewHead() bool {
+	return len(c.buf) == 0 && c.bodyLeft == 0 && c.chunks == nil
+}
 
 // readSocket reads from the socket. It fails with net.ErrClosed once the connection was closed. endsTurn is false if the turn
 // that the connection has is that of a request that is being handled.
--- a/internal/inbound/work.go
+++ b/internal/inbound/work.go
@@ -41,6 +41,7 @@
 	credit   time.Duration // processor time that new input may use now, negative if it has used more
 	filledAt time.Duration
 	sequence uint64
+	byAge    bool      // the next turn goes to the client that has waited longest
 	ready    turnQueue // wait for a turn
 	delayed  turnQueue // wait until they have paid off their debt
 	counts   Counts
@@ -321,10 +322,13 @@
 	w.refill(now)
 	w.dropOverdue(now)
 	for w.delayed.Len() > 0 && w.delayed.waiters[0].payableAt <= now {
-		heap.Push(&w.ready, heap.Pop(&w.delayed))
+		payable := heap.Pop(&w.delayed).(*waiter)
+		w.sequence++
+		payable.sequence = w.sequence
+		heap.Push(&w.ready, payable)
 	}
 	for w.ready.Len() > 0 && w.hasTurn() {
-		next := heap.Pop(&w.ready).(*waiter)
+		next := w.popReady()
 		next.client.forget(next)
 		w.counts.Turns++
 		w.counts.Waited += now - next.askedAt
@@ -336,6 +340,22 @@
 	w.setTimer(now)
 }
 
+// popReady removes the waiter that has the next turn: in turns the one of the lowest rank, and the one that has waited longest. Clients
+// that come anew, and have used nothing, keep nobody from its turn. The caller holds w.mu.
+func (w *Work) popReady() *waiter {
+	next := w.ready.waiters[0]
+	if w.byAge {
+		for _, other := range w.ready.waiters {
+			if other.client.Order != Last && other.sequence < next.sequence {
+				next = other
+			}
+		}
+	}
+	w.byAge = !w.byAge
+	heap.Remove(&w.ready, next.index)
+	return next
+}
+
 // forget removes a waiter from those of the client. The caller holds work.mu.
 func (c *Client) forget(granted *waiter) {
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *waiter) bool { return w == granted })
--- a/internal/inbound/work_test.go
+++ b/internal/inbound/work_test.go
@@ -237,3 +237,43 @@
 		t.Errorf("%d held after the release", m.Used())
 	}
 }
+
+// Connections that come anew all the time, and have used nothing, do not keep one that has used a little from its turn.
+func TestNewcomersKeepNobodyFromItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const newcomers, most = 80, 500 * time.Millisecond
+		var stop atomic.Bool
+		w := NewWork(1)
+		regular := w.NewClient()
+		regular.Begin()
+		time.Sleep(turnTime)
+		regular.End()
+		regular.Useful()
+		for range newcomers {
+			go func() {
+				for !stop.Load() {
+					c := w.NewClient()
+					c.Begin()
+					time.Sleep(turnTime)
+					c.End()
+					c.Close()
+				}
+			}()
+		}
+		synctest.Wait()
+		asked, done := time.Now(), make(chan bool)
+		go func() {
+			regular.Begin()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(10 * most):
+		}
+		if waited := time.Since(asked); waited > most {
+			t.Errorf("waited for %v behind %d newcomers", waited, newcomers)
+		}
+		stop.Store(true)
+		time.Sleep(time.Minute)
+	})
+}
