--- a/internal/httpfront/handover_test.go
+++ b/internal/httpfront/handover_test.go
@@ -219,3 +219,20 @@
 		}
 	})
 }
+
+// A process of an older version says neither how long the client has waited nor whether an event has data: both count as not.
+func TestPositionFromOlderProcessIsTaken(t *testing.T) {
+	var position streamPosition
+	older := `{"chunk":3,"left":5,"count":0,"line":"ZGF0YQ==","length":9,"fine":true,"note":false,"behind":0,"id":"x"}`
+	if err := json.Unmarshal([]byte(older), &position); err != nil {
+		t.Fatal(err)
+	}
+	chunk, events, err := position.scanners()
+	if err != nil || position.Waited != 0 || events.hasData {
+		t.Fatalf("%+v: %v", position, err)
+	}
+	_, _, chunkErr := chunk.feed([]byte("ab}\n\n\r\n"))
+	if _, _, eventErr := events.feed([]byte("ab}\n\n")); chunkErr != nil || eventErr != nil || checkWhole(true, &events) != nil {
+		t.Errorf("%v %v %+v", chunkErr, eventErr, events)
+	}
+}
