The soak takes a log line's own time also where a clock was stepped before

Trace: the router logged the send at 14.011, its client left at 14.056, and the line arrived at 14.057. For 0.9 s behind a step of the router's clock the check took the time of a line's arrival for that of its send, so that the request, sent 45 ms before its end, counted as sent after it.

A line's own time is off by a second or more while the clock is stepped, and is refused then in any case: it is more than 0.9 s before the arrival, or behind it. TestLogLinesHaveTheirOwnTime shows both.

--- a/internal/scale/soak/router.go
+++ b/internal/scale/soak/router.go
@@ -49,7 +49,6 @@
 	command      *exec.Cmd
 	startedAt    time.Time // of the current process
 	log          []logLine
-	clockStepped bool
 	processes    int
 	admitting    bool            // whether clients may open connections
 	exits        []processExit   // how its processes were ended
@@ -80,11 +79,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for line := range strings.Lines(string(p)) {
-		logged := now
-		if !r.clockStepped {
-			logged = writtenAt(line, now)
-		}
-		r.log = append(r.log, logLine{now, strings.TrimSpace(line), logged})
+		r.log = append(r.log, logLine{now, strings.TrimSpace(line), writtenAt(line, now)})
 	}
 	return len(p), nil
 }
@@ -94,7 +89,8 @@
 	logTimePrecision = time.Millisecond
 )
 
-// writtenAt returns when a line was logged by its own time, if that is shortly before its arrival, and when it arrived otherwise.
+// writtenAt returns when a line was logged by its own time, if that is shortly before its arrival, and when it arrived otherwise: the
+// router's clock is stepped then, as each step is longer than maxLogDelay.
 func writtenAt(line string, arrived time.Time) time.Time {
 	text, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
 	if at, err := time.Parse(time.RFC3339Nano, text); err == nil && at.Before(arrived) && arrived.Sub(at) < maxLogDelay {
@@ -277,17 +273,6 @@
 
 // stepClock steps the wall clock of the current process and of later ones to the given offset.
 func (r *router) stepClock(seconds int) error {
-	r.mu.Lock()
-	r.clockStepped = r.clockStepped || seconds != 0
-	r.mu.Unlock()
-	if seconds == 0 {
-		defer func() {
-			time.Sleep(maxLogDelay) // for lines that were logged before
-			r.mu.Lock()
-			r.clockStepped = false
-			r.mu.Unlock()
-		}()
-	}
 	if err := clockstep.WriteOffset(r.file("clock"), seconds); err != nil {
 		return err
 	}
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -230,3 +230,19 @@
 		}
 	}
 }
+
+// A line that arrives late was logged at its own time, unless that is the time of a clock that was stepped.
+func TestLogLinesHaveTheirOwnTime(t *testing.T) {
+	arrived := time.Date(2026, 12, 5, 21, 38, 14, 57e6, time.UTC)
+	for own, want := range map[time.Time]time.Time{
+		arrived.Add(-46 * time.Millisecond):               arrived.Add(-46 * time.Millisecond),
+		arrived.Add(-46*time.Millisecond - time.Second):   arrived,
+		arrived.Add(-46*time.Millisecond + time.Second):   arrived,
+		arrived.Add(-46*time.Millisecond - 5*time.Second): arrived,
+	} {
+		line := "time=" + own.Format("2006-01-02T15:04:05.000Z07:00") + " level=DEBUG msg=send"
+		if got := writtenAt(line, arrived); !got.Equal(want) {
+			t.Errorf("%s arrived at %v: logged at %v, want %v", line, arrived, got, want)
+		}
+	}
+}
