The end of an attempt has one owner: a stream that has begun is not cancelled by a doubt

Cause: an attempt's end had several owners. Until the request's goroutine had taken the first token off its queue, a cancellation of the module, the attempt's timer or a failure at the request's deadline could end the attempt's context, and the client was given a stream that was closed. Which came first was a random choice of `select`.

Change: attemptEnd owns the end of an attempt, fixVerdictLocked the final answer; both have named states and are moved in one place. A stream that has begun goes before a cancellation, a failure and a refusal (but not at a shutdown). A transport may say that something has come which it has not judged yet; a silence is judged behind that. Timers of the module that are late wait 10 ms, for what has come meanwhile to be read.

--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -49,26 +49,26 @@
 	retryAfter      time.Duration
 	answered        bool // the final answer was delivered
 	attempts        []*attempt
-	inFlight        int         // attempts without a result
-	streaming       bool        // the answer's stream has not ended
-	streamAttempt   int         // number of the attempt that streams
-	clientLeft      bool        // the client left while the answer streamed
-	mayHoldState    bool        // a successful read left a state that a worker may still hold
-	stateWaiting    bool        // ... and that no write has fetched
-	stateWanted     atomic.Bool // ... and that a write is to fetch
-	unknownReads    []*lateRead // reads of unknown outcome; the release of what they may leave has not begun
-	reader          Worker      // where that state is, or may be
-	heldSince       time.Time   // start of the current holding time of the waiting state
-	releasedAtLimit bool        // the waiting state was released since heldSince, at the pin limit
-	answerFixed     atomic.Bool // answered, for the goroutines of attempts: nothing more may be sent
-	reason          string      // the module's latest reason for a choice
+	streamsBegun    atomic.Int32 // attempts whose streams have begun and were not taken as the answer
+	inFlight        int          // attempts without a result
+	streaming       bool         // the answer's stream has not ended
+	streamAttempt   int          // number of the attempt that streams
+	clientLeft      bool         // the client left while the answer streamed
+	mayHoldState    bool         // a successful read left a state that a worker may still hold
+	stateWaiting    bool         // ... and that no write has fetched
+	stateWanted     atomic.Bool  // ... and that a write is to fetch
+	unknownReads    []*lateRead  // reads of unknown outcome; the release of what they may leave has not begun
+	reader          Worker       // where that state is, or may be
+	heldSince       time.Time    // start of the current holding time of the waiting state
+	releasedAtLimit bool         // the waiting state was released since heldSince, at the pin limit
+	answerFixed     atomic.Bool  // answered, for the goroutines of attempts: nothing more may be sent
+	reason          string       // the module's latest reason for a choice
 }
 
 // attempt is an attempt with the core's record of it.
 type attempt struct {
 	Attempt
 	began    time.Time
-	cancel   context.CancelCauseFunc
 	inFlight bool
 
 	guardChecked atomic.Bool // the sending guard was asked
@@ -138,25 +138,26 @@
 			req.releaseIfDue()
 			continue
 		}
+		ready := req.inputs()
 		select {
-		case cmd := <-req.commands:
+		case cmd := <-ready.commands:
 			switch cmd.kind {
 			case send:
 				req.startAttempt(cmd)
 			case cancel:
-				req.cancelAttempt(cmd.attemptNumber, errCancelled)
+				req.doubtAttempt(cmd.attemptNumber)
 			case settle:
 				req.deliverAnswer()
 			case release:
 				req.releaseUnansweredWrite()
 			}
-		case e := <-req.events:
+		case e := <-ready.events:
 			if e.Status == 0 {
 				req.handleFirstToken(e)
 			} else {
 				req.handleAttemptEnd(e)
 			}
-		case end := <-req.streamEnd:
+		case end := <-ready.streamEnd:
 			req.handleStreamEnd(end)
 		case <-clientGone: // handled at the top of the loop
 		case <-heldTimer.C: // handled below
@@ -169,6 +170,22 @@
 	}
 }
 
+// inputs are the channels from which a request's goroutine takes its next message.
+type inputs struct {
+	commands  <-chan command
+	events    <-chan attemptEvent
+	streamEnd <-chan streamEnd
+}
+
+// inputs returns all channels, or those that a test allows.
+func (req *activeRequest) inputs() inputs {
+	all := inputs{req.commands, req.events, req.streamEnd}
+	if req.core.order != nil {
+		return req.core.order(all)
+	}
+	return all
+}
+
 // untilHeldCheck returns the time until a state may have passed its limit.
 func (req *activeRequest) untilHeldCheck() time.Duration {
 	limit, wait := req.settings.PinLimit, farFuture
@@ -206,7 +223,7 @@
 	} else if req.streaming {
 		// Without this the stream would go on, or hang, with nobody to read it.
 		req.clientLeft = true
-		req.attempts[req.streamAttempt].cancel(errCancelled)
+		req.attempts[req.streamAttempt].end.abandon()
 	}
 }
 
@@ -221,7 +238,7 @@
 	p := recover()
 	if p != nil {
 		req.core.log.Error("request panicked", "id", req.ID, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
-		req.cancelAttempts()
+		req.abandonAttempts()
 		if !req.answered {
 			req.answer <- Answer{Verdict: Failed}
 		}
@@ -232,45 +249,6 @@
 	req.idDone(slices.ContainsFunc(req.attempts, func(a *attempt) bool { return !a.Read && (a.inFlight || a.mayHaveRun) }))
 }
 
-// settleAs fixes v as the verdict of the final answer and delivers it, unless one is fixed already. It reports whether it
-// did.
-func (req *activeRequest) settleAs(v Verdict) bool {
-	req.core.mu.Lock()
-	won := req.verdict == Pending
-	if won {
-		req.verdict = v
-	}
-	req.core.mu.Unlock()
-	if won {
-		req.deliverAnswer()
-	}
-	return won
-}
-
-// deliverAnswer delivers the final answer that verdict holds, without waiting for the attempts in flight, and cancels them,
-// as nobody will read what they return.
-func (req *activeRequest) deliverAnswer() {
-	if req.answered {
-		return
-	}
-	req.core.mu.Lock()
-	a := Answer{Verdict: req.verdict, RetryAfter: req.retryAfter}
-	req.core.mu.Unlock()
-	req.answered = true
-	req.answerFixed.Store(true)
-	req.stateWanted.Store(false)
-	req.answer <- a
-	req.log(a.Verdict, "")
-	req.cancelAttempts()
-}
-
-// cancelAttempts cancels all attempts in flight.
-func (req *activeRequest) cancelAttempts() {
-	for n := range req.attempts {
-		req.cancelAttempt(n, errCancelled)
-	}
-}
-
 // log logs the final answer.
 func (req *activeRequest) log(v Verdict, worker string) {
 	names := [...]string{"open", "streaming", "refused", "failed", "gone"}
@@ -295,12 +273,13 @@
 	n, now := len(req.attempts), time.Now()
 	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(remaining), Read: req.isReader(w), CancelGrace: req.cancelGrace()}, began: now, inFlight: true}
 	a.MaySend = func() bool { return req.checkSendAllowed(a) }
+	ctx, stop := context.WithCancelCause(context.Background())
+	a.end = &attemptEnd{stop: stop, streamsBegun: &req.streamsBegun}
 	a.Verify = !a.Read && req.stateWaiting && req.settings.CanProbe
 	repeatAllowed := req.checkRepeatAllowed(a.Read)
 	req.attempts = append(req.attempts, a)
 	req.inFlight++
 	if w.ID == "" || !repeatAllowed || !a.MaySend() {
-		a.cancel = func(error) {}
 		req.events <- attemptEvent{n, Result{Status: decide.Unsent}}
 		return
 	}
@@ -309,9 +288,7 @@
 		uptime = max(time.Millisecond, c.clock()-w.StartedAt)
 	}
 	c.log.Debug("send", "id", req.ID, "txn", req.Label, "n", n, "why", req.latestReason(), "worker", w.ID, "kind", w.Kind, "read", a.Read, "up_ms", uptime.Milliseconds())
-	ctx, stop := context.WithCancelCause(context.Background())
-	stopTimer := patience.AfterFunc(remaining, func() { stop(ErrTimedOut) })
-	a.cancel = stop
+	stopTimer := patience.AfterFunc(remaining, func() { a.end.doubt(ErrTimedOut) })
 	go func() {
 		defer func() {
 			if p := recover(); p != nil {
@@ -319,13 +296,8 @@
 				req.events <- attemptEvent{n, Result{Status: decide.Reset}}
 			}
 		}()
-		res := req.transport.Try(ctx, a.Attempt)
-		if !stopTimer() && res.Status == 0 { // the deadline passed as the first token came: the stream is closed already
-			res = Result{Status: decide.Cancelled}
-		}
-		if res.Status == decide.Cancelled && errors.Is(context.Cause(ctx), ErrTimedOut) {
-			res.Status = decide.TimedOut
-		}
+		res := a.end.result(ctx, req.transport.Try(ctx, a.Attempt))
+		stopTimer()
 		req.events <- attemptEvent{n, res}
 	}()
 }
@@ -353,10 +325,11 @@
 	return w.Kind >= 0 && w.Kind < len(kinds) && kinds[w.Kind].Role == decide.Reader
 }
 
-// cancelAttempt cancels an attempt, if it is in flight. Its end still comes as an event.
-func (req *activeRequest) cancelAttempt(n int, why error) {
+// doubtAttempt cancels an attempt that the module doubts, if it is in flight and its answer has not begun. Its end still comes as an
+// event.
+func (req *activeRequest) doubtAttempt(n int) {
 	if n >= 0 && n < len(req.attempts) && req.attempts[n].inFlight {
-		req.attempts[n].cancel(why)
+		req.attempts[n].end.doubt(errCancelled)
 	}
 }
 
@@ -368,16 +341,14 @@
 	a.mayHaveRun = true
 	c.recordContact(a.To.ID, true)
 	c.mu.Lock()
-	won := req.verdict == Pending
+	won := a.end.takeStream() && req.fixVerdictLocked(Streaming, 0)
 	if won {
-		req.verdict = Streaming
 		c.dispatchLocked(func(now time.Duration, r *decide.Router) {
 			r.Started(now, decide.Started{ID: req.ID, Attempt: e.attemptNumber, Server: a.To.ID, Elapsed: time.Since(a.began)})
 		})
 	}
 	c.mu.Unlock()
 	if !won { // the token came after the final answer: nobody will read the stream
-		a.cancel(errCancelled)
 		req.handleAttemptEnd(attemptEvent{e.attemptNumber, Result{Status: decide.Cancelled, Stream: e.Stream}})
 		return
 	}
@@ -389,10 +360,10 @@
 	a.inFlight = false
 	var once sync.Once
 	req.answer <- Answer{Verdict: Streaming, Stream: e.Stream, Worker: a.To, StreamEnded: func(s decide.Status, why error) {
-		once.Do(func() { a.cancel(errCancelled); req.streamEnd <- streamEnd{s, why} })
+		once.Do(func() { a.end.finish(); req.streamEnd <- streamEnd{s, why} })
 	}}
 	req.log(Streaming, a.To.ID)
-	req.cancelAttempts()
+	req.abandonAttempts()
 }
 
 // handleStreamEnd reports to the module how the answer's stream ended. A stream that broke is not resumed by a further
@@ -422,7 +393,7 @@
 	req.checkGuardWasAsked(a, e.Status)
 	a.inFlight, a.mayHaveRun = false, !a.Read && mayHaveRun(e.Status)
 	req.inFlight--
-	a.cancel(errCancelled) // frees the context
+	a.end.finish()
 	if e.Status != decide.Unsent {
 		req.core.recordContact(a.To.ID, e.Status == decide.Read || e.Status == decide.Rejected || e.Status == decide.Errored)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,11 +56,24 @@
 	// CancelGrace bounds how long Try may go on after its context has ended, to see the worker end the attempt too.
 	// 0: Try returns at once.
 	CancelGrace time.Duration
+	end         *attemptEnd // nil: the attempt is not one of a Core
 }
 
 // Remaining returns how long the router will still wait for the attempt, which is never longer than its client waits.
 func (a Attempt) Remaining() time.Duration { return time.Until(a.Deadline) }
 
+// BeginStream reports to the core that the worker's stream has begun, as Try's return does too. It returns false if the attempt was
+// cancelled before: then the stream must not be passed on. It is for transports whose streams others carry.
+func (a Attempt) BeginStream() bool { return a.end == nil || a.end.beginStream() }
+
+// ObserveInput gives the core a function that reports whether something has come from the worker that Try has not read or not judged
+// yet. The worker does not count as silent before that was judged.
+func (a Attempt) ObserveInput(unjudged func() bool) {
+	if a.end != nil {
+		a.end.hasUnjudged.Store(&unjudged)
+	}
+}
+
 // Result reports how an attempt ended, or that its answer has begun to stream.
 type Result struct {
 	Status       decide.Status // 0: the answer has begun and Stream is set
@@ -137,6 +150,7 @@
 	OnAvailabilityChange func(ids []string)
 	// CacheReports holds what workers report of their caches; nil: there are no reports. Set before use.
 	CacheReports CacheReports
+	order        func(inputs) inputs // picks what a request's goroutine takes next; nil: whatever is ready; set in tests
 }
 
 // CacheReports holds what workers report of the prompts in their caches.
--- a/internal/core/executor.go
+++ b/internal/core/executor.go
@@ -35,10 +35,9 @@
 	}
 }
 
-// settle fixes the final answer of a request, unless it is fixed already, and has the request's goroutine deliver it.
+// settle fixes the final answer of a request, if that is possible, and has the request's goroutine deliver it.
 func (x *executor) settle(id decide.RequestID, v Verdict, retryAfter time.Duration) {
-	if req := x.requests[id]; req != nil && req.verdict == Pending {
-		req.verdict, req.retryAfter = v, retryAfter
+	if req := x.requests[id]; req != nil && req.fixVerdictLocked(v, retryAfter) {
 		x.enqueue(id, command{kind: settle})
 	}
 }
@@ -78,11 +77,22 @@
 // Release implements decide.Executor.
 func (x *executor) Release(id decide.RequestID) { x.enqueue(id, command{kind: release}) }
 
+// Where this process was held up, a timer of the module waits for what has come meanwhile to be read.
+const (
+	timerTolerance = 10 * time.Millisecond // by which a timer may be late before this process counts as held up
+	lateTimerWait  = 10 * time.Millisecond
+)
+
 // SetTimer implements decide.Executor.
 func (x *executor) SetTimer(token uint64, at time.Duration) {
 	c := (*Core)(x)
+	fire := func() { c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, token) }) }
 	time.AfterFunc(at-c.clock(), func() {
-		c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, token) })
+		if c.clock()-at > timerTolerance {
+			time.AfterFunc(lateTimerWait, fire)
+			return
+		}
+		fire()
 	})
 }
 
--- a/internal/core/lateread_test.go
+++ b/internal/core/lateread_test.go
@@ -36,6 +36,13 @@
 	s.heldSince[worker] = time.Now()
 }
 
+// fetch has a writer fetch the states that are held.
+func (s *stateWorkers) fetch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.heldSince)
+}
+
 func (s *stateWorkers) Release(ctx context.Context, at Worker) error {
 	select {
 	case <-ctx.Done():
