A caller's report that its stream has begun asks the owner of the attempt

Before: the end of an attempt that a caller carries had two owners, the coordinator and the core. On the attempt's time (not on a cancellation of the module) a caller could be told that its stream was taken while the core went on without it.

Change: Report asks Attempt.BeginStream first. A stream that the core has cancelled before is rejected, the grant withdrawn.

--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -433,6 +433,9 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	g := d.table.Grant(id)
+	if fate == grant.Begun && d.table.MayReport(caller, id, fate) == nil {
+		d.beginStream(g)
+	}
 	if err := d.table.Report(now, caller, id, fate, false); err != nil {
 		return err
 	}
@@ -458,6 +461,16 @@
 	return nil
 }
 
+// beginStream tells the core that the caller's stream of a granted attempt has begun, and withdraws the grant if the core has cancelled
+// the attempt before: the caller must not pass the stream on, as the core goes on without it.
+func (d *Coordinator) beginStream(g *grant.Grant) {
+	s := d.delegations[g.Request()]
+	if s == nil || s.grantedOffer == nil || s.grantedOffer.grant != g || s.grantedOffer.BeginStream() {
+		return
+	}
+	d.table.Withdraw(d.now(), g.ID)
+}
+
 // abandon ends a request whose caller needs nothing more.
 func (d *Coordinator) abandon(s *delegation, why error) {
 	if d.delegations[s.id] == s {
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -419,8 +419,14 @@
 	}
 }
 
-// Report records what became of a grant. over reports that the caller needs nothing more for the request.
-func (t *Table) Report(now time.Duration, caller string, id uint64, fate Fate, over bool) error {
+// MayReport returns nil if a report that a grant has come to fate would be recorded.
+func (t *Table) MayReport(caller string, id uint64, fate Fate) error {
+	_, err := t.checkReport(caller, id, fate)
+	return err
+}
+
+// checkReport returns the grant that a report is on, and an error if it would be rejected.
+func (t *Table) checkReport(caller string, id uint64, fate Fate) (*Grant, error) {
 	g, err := t.findGrant(caller, id)
 	switch {
 	case err != nil:
@@ -429,15 +435,23 @@
 	case fate == Read && !g.Read || fate == Begun && g.Read:
 		err = fmt.Errorf("%w: a fate of the other stage", ErrInvalidState)
 	case g.State == Reported && g.Fate == fate: // repeating it is harmless
-		t.touch(now, g.req)
-		return nil
 	case !g.open():
 		err = fmt.Errorf("%w: %v", ErrInvalidState, g.State)
 	}
+	return g, err
+}
+
+// Report records what became of a grant. over reports that the caller needs nothing more for the request.
+func (t *Table) Report(now time.Duration, caller string, id uint64, fate Fate, over bool) error {
+	g, err := t.checkReport(caller, id, fate)
 	if err != nil {
 		t.logStep(now, StepReport, g, err)
 		return err
 	}
+	if g.State == Reported {
+		t.touch(now, g.req)
+		return nil
+	}
 	g.Fate, g.State = fate, Reported
 	t.close(g)
 	t.logStep(now, StepReport, g, nil)
