gRPC workers: a message and the stall timer have one owner, and a late timer reads first

A message that came as the stall timer fired was passed on, and its stream was cancelled behind it. A timer that was late, as this process was, ended a stream whose next message waited to be read.

Change: tokenStream is idle, waiting or stalled; Recv and the timer move it under one lock. A late timer waits 20 ms once. The connect timer does not count time in which this process was held up.

--- a/internal/grpcfront/workers.go
+++ b/internal/grpcfront/workers.go
@@ -22,7 +22,7 @@
 	"rowanyard/decide"
 	"rowanyard/internal/core"
 	"rowanyard/internal/grpcfront/pb"
-	"rowanyard/internal/httpfront"
+	"rowanyard/internal/patience"
 )
 
 // Wire marks workers that speak gRPC in a core.Worker.
@@ -167,9 +167,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := func(why error) { cancel(why); done() }
-	connectTimer := time.AfterFunc(x.workers.connectTimeout, func() { cancel(errConnectTimeout) })
+	stopConnectTimer := patience.AfterFunc(x.workers.connectTimeout, func() { cancel(errConnectTimeout) })
 	call, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, method)
-	if !connectTimer.Stop() && err == nil {
+	if !stopConnectTimer() && err == nil {
 		err = errConnectTimeout
 	}
 	switch {
@@ -199,10 +199,7 @@
 	if err := call.RecvMsg(first); err != nil {
 		return x.failedResult(ctx, a, stop, call, err)
 	}
-	s := &tokenStream{call: call, first: first, stop: stop}
-	s.stallTimer = time.AfterFunc(time.Hour, func() { cancel(errors.New("no chunk on the stream within the stall limit")) })
-	s.stallTimer.Stop()
-	return core.Result{Stream: s}
+	return core.Result{Stream: newTokenStream(call, first, stop)}
 }
 
 // failedResult classifies the end of a call whose message may have reached the server.
@@ -289,33 +286,3 @@
 	}
 	return p.HTTP.Probe(ctx, at)
 }
-
-// tokenStream is a model server's answer, starting with its first chunk. It is a chunkStream.
-type tokenStream struct {
-	call       grpc.ClientStream
-	first      *pb.Chunk
-	stop       context.CancelCauseFunc
-	stallTimer *time.Timer
-}
-
-// Recv returns the next chunk. It fails if the server sends nothing for httpfront.StreamStallTimeout.
-func (s *tokenStream) Recv() (*pb.Chunk, error) {
-	if c := s.first; c != nil {
-		s.first = nil
-		return c, nil
-	}
-	s.stallTimer.Reset(httpfront.StreamStallTimeout)
-	defer s.stallTimer.Stop()
-	c := new(pb.Chunk)
-	if err := s.call.RecvMsg(c); err != nil {
-		return nil, err
-	}
-	return c, nil
-}
-
-// Close ends the call.
-func (s *tokenStream) Close() error {
-	s.stallTimer.Stop()
-	s.stop(nil)
-	return nil
-}
