Silence of a stream is judged by its reader; one log line for each client connection that ends owed an answer

Callers saw streams broken off although an event had come: the timer of a silent stream closed it while its reader had bytes that it had not scanned yet, or, where the process was late by up to 10 ms, had not read. Clients also waited 5.03 s behind the last event where the process was late: 4.9 s and 50 ms more left no room for the 0.15 s by which a process may be held up.

Change: the timer only wakes the reader, which reads what has come and judges then (silencewatch.go). The clock of events follows from the stated times: 5 s, less 0.15 s, less 30 ms for the way; 4.82 s. A worker that writes an event each 4.8 s is still not cut off. The soak's check of cut streams has the same bound, 4.8 s in place of 4.85 s: both limits can't hold beyond it.

`client connection ended` says of each connection that ends with an answer owed or under way whose request it was, who ended it, why, and what was out; `client call ended` says so for gRPC, `caller left` for callers that carry requests.

--- a/internal/decisions/coordinator.go
+++ b/internal/decisions/coordinator.go
@@ -485,6 +485,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.delegations[request]; s != nil {
+		d.log.Info("caller left", "caller", s.caller, "txn", request, "granted", s.grantedOffer != nil)
 		d.abandon(s, ErrCallerGone)
 	}
 }
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -118,13 +118,17 @@
 		}
 		return text
 	})
+	servedSince := time.Now()
 	a := s.core.Serve(out.Context(), q, s.exchange(req))
 	switch a.Verdict {
 	case core.Streaming:
-		return relay(a, out, cmp.Or(s.Streams, context.Background()))
+		err := relay(a, out, cmp.Or(s.Streams, context.Background()))
+		s.logEnd(out.Context(), req.Id, a.Worker.ID, servedSince, err)
+		return err
 	case core.Refused:
 		return refusal(codes.Unavailable, "refused, nothing has run", a.RetryAfter)
 	case core.ClientGone:
+		s.logEnd(out.Context(), req.Id, "", servedSince, context.Cause(out.Context()))
 		return status.FromContextError(context.Cause(out.Context())).Err()
 	}
 	// Not UNAVAILABLE, DEADLINE_EXCEEDED or ABORTED: clients and service meshes retry those automatically, and the request
@@ -132,6 +136,19 @@
 	return status.Error(codes.Internal, "failed, it may have run")
 }
 
+// logEnd logs the end of a client's call with an answer owed or under way: whose request it was, who ended it and why. worker is the
+// one that streamed, if there is one.
+func (s *Server) logEnd(call context.Context, id, worker string, since time.Time, why error) {
+	if why == nil {
+		return
+	}
+	by := "router"
+	if call.Err() != nil {
+		by = "client"
+	}
+	s.log.Info("client call ended", "txn", id, "by", by, "why", why, "worker", worker, "out", worker != "", "after_ms", time.Since(since).Milliseconds())
+}
+
 // refusal returns a status error with a RetryInfo detail that tells the client when to retry.
 func refusal(code codes.Code, text string, after time.Duration) error {
 	st := status.New(code, text)
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -54,7 +54,8 @@
 	account        *inbound.Client // of the work on what it sends
 	writeDeadline  atomic.Bool     // one was set for the current answer
 	bodyMemory     atomic.Pointer[inbound.Holding]
-	inputEnded     atomic.Bool // the client has closed, or the connection is broken
+	inputEnded     atomic.Bool                // the client has closed, or the connection is broken
+	owed           atomic.Pointer[owedAnswer] // nil: no answer is owed
 
 	// Used by Read, which net/http does not call concurrently, and by trackConnState while Read is not running.
 	reader      *inbound.Reader
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -42,6 +42,7 @@
 	evicted     int              // connections closed for other ones since lastWarning
 	backlogOnly chan struct{}    // closed by closeAfterBacklog
 	closing     atomic.Bool      // connections are closed after their answer
+	ending      atomic.Bool      // the process ends, and with it all connections
 	rejectAll   bool             // each new connection is rejected, as the process ends
 	open        inflight.Counter // connections that are not closed
 	acceptDone  chan struct{}    // closed once Accept is no longer called
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -104,6 +104,7 @@
 	if !first {
 		return net.ErrClosed
 	}
+	c.logEnd(endedByRouter, whyUnknown)
 	owed := ""
 	if c.answerComplete.Load() {
 		owed = c.refusals(int(c.pipelined.Swap(0)))
@@ -154,6 +155,7 @@
 	if !first {
 		return
 	}
+	c.logEnd(endedByRouter, whyEvicted)
 	owed := ""
 	if unanswered || hasUnreadInput(c.Conn) {
 		owed = c.refusals(max(1, int(c.pipelined.Swap(0))))
@@ -210,6 +212,7 @@
 		// Not reached if the handler panicked because the answer broke off. An answer of HTTP/1.0 ends with the close, so
 		// that no refusal can follow it.
 		c.answerComplete.Store(r.ProtoAtLeast(1, 1))
+		c.endOwing()
 	})
 }
 
--- a/internal/httpfront/eventclock.go
+++ b/internal/httpfront/eventclock.go
@@ -6,12 +6,16 @@
 )
 
 const (
-	// StreamStallTimeout is how long a stream may go on without a further event. A client that waits for 5 s has lost its request.
-	StreamStallTimeout = 4900 * time.Millisecond
+	clientEventWait = 5 * time.Second        // a client that waits for a further event for this long has lost its request
+	maxHeldUp       = 150 * time.Millisecond // for which this process may be held up
+	eventTransit    = 30 * time.Millisecond  // from the worker to the client
+
+	// StreamStallTimeout is how long a stream may go on without a further event.
+	StreamStallTimeout = clientEventWait - maxHeldUp - eventTransit
 	// heldUpTolerance is by how much a timer may be late before this process counts as late.
 	heldUpTolerance = 10 * time.Millisecond
 	// stallRecheck is how long a stream that is overdue is given where this process was late itself, to read what has come.
-	stallRecheck = 50 * time.Millisecond
+	stallRecheck = 20 * time.Millisecond
 	// minClientWait is how long a write to a client must take to count as a wait for that client.
 	minClientWait = 10 * time.Millisecond
 )
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -161,6 +161,7 @@
 	defer memory.Release()
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		c.bodyMemory.Store(memory)
+		c.beginOwing(r.Header.Get(headerTxn))
 	}
 	body, status, err := f.readBody(w, r, memory)
 	if errors.Is(err, errBodyMemory) {
@@ -239,6 +240,9 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		if owed := c.owed.Load(); owed != nil {
+			owed.exchange.Store(x)
+		}
 		// net/http looks for a close concurrently with the handler, and may not yet have noticed one that came while
 		// the request was waiting to be read.
 		x.ClientGone = func() bool {
@@ -323,6 +327,9 @@
 		res.StatusCode = http.StatusServiceUnavailable
 		setRetryAfter(res.Header, a.RetryAfter)
 	case core.ClientGone:
+		if conn != nil {
+			conn.logEnd(endedByClient, errClientLeft.Error())
+		}
 		return nil, context.Canceled
 	default:
 		res.StatusCode = statusFailed
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -120,6 +120,7 @@
 	}
 	if current != nil && !current.shutdown(ctx) {
 		f.log.Warn("streams cut at the end", "err", ctx.Err())
+		current.ending.Store(true)
 	}
 	f.server.Close()
 	f.keptStreams.running.Wait(ctx)
--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -177,8 +177,9 @@
 	waited         time.Duration // for the next event, before this process had the stream
 	nextEvent      eventClock
 	pipelined      atomic.Int32 // requests that were read behind the one being answered
-	clientClosed   bool         // the answer is complete, and the connection to the client is being closed
-	handOverFailed bool         // it goes on here, or breaks if clients request the rest
+	clientLeft     atomic.Bool
+	clientClosed   bool // the answer is complete, and the connection to the client is being closed
+	handOverFailed bool // it goes on here, or breaks if clients request the rest
 }
 
 // run relays the rest of the stream and then closes the client's connection. The id is free by then: the client may send it
@@ -189,6 +190,7 @@
 	// Once the client has left, closing the worker's connection ends the stream.
 	go func() {
 		s.readAhead()
+		s.clientLeft.Store(true)
 		s.worker.Close()
 	}()
 	defer context.AfterFunc(s.receiver.cutCtx, func() { _ = s.worker.SetReadDeadline(time.Now()) })()
@@ -212,8 +214,12 @@
 			s.nextEvent.restart(0)
 			rechecked = false
 		}
-		if valid > 0 && s.writeChunk(out[:valid]) != nil {
-			return
+		if valid > 0 {
+			if err := s.writeChunk(out[:valid]); err != nil {
+				s.clientLeft.Store(true)
+				s.logBroken(err)
+				return
+			}
 		}
 		s.nextEvent.excludeClient(writeBegan)
 		broken := errors.Join(chunkErr, eventErr)
@@ -239,7 +245,12 @@
 }
 
 func (s *receivedStream) logBroken(err error) {
+	by := endedByRouter
+	if s.clientLeft.Load() {
+		by = endedByClient
+	}
 	s.receiver.log.Info("stream broke off", "handed", true, "txn", s.id, "err", err)
+	s.receiver.log.Info("client connection ended", "txn", s.id, "by", by, "why", err, "handed", true)
 }
 
 // endAnswer writes the last chunk to the client and closes the connection.
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -43,6 +43,7 @@
 	stopCutting func() bool // set once some of the stream has passed, which it must before it is handed over or cut
 	cut         atomic.Bool
 	handedOver  bool // the next Read returns errHandedOver
+	ended       bool // Read has returned the stream's end
 }
 
 func (r *relay) Read(p []byte) (int, error) {
@@ -56,14 +57,13 @@
 		}
 		if r.handOver() {
 			r.onEnd(decide.Served, nil) // complete as far as the core is concerned
+			r.conn.endOwing()
 		}
 	}
 	if r.stopCutting == nil && n > 0 {
 		r.stopCutting = context.AfterFunc(r.front.cutCtx, r.handOverOrCut)
 	}
-	if err != nil && err != io.EOF && !r.chunked && r.conn != nil {
-		r.conn.answerBroken.Store(true)
-	}
+	r.recordProgress(n, err)
 	// A client that stops reading would otherwise hold its stream, and a slot at the writer, for good.
 	_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
 	switch {
@@ -77,6 +77,29 @@
 	return n, err
 }
 
+// recordProgress records what the client's connection has come to.
+func (r *relay) recordProgress(n int, err error) {
+	if r.conn == nil {
+		return
+	}
+	broken := err != nil && err != io.EOF
+	if broken && !r.chunked {
+		r.conn.answerBroken.Store(true)
+	}
+	owed := r.conn.owed.Load()
+	if owed == nil {
+		return
+	}
+	owed.bytes.Add(int64(n))
+	switch {
+	case broken && r.conn.inputEnded.Load(): // which ends the request and, with it, the stream
+		owed.left.Store(true)
+	case broken:
+		owed.broken.Store(&err)
+	}
+	r.ended = r.ended || err != nil
+}
+
 // handOverOrCut has the stream handed over to the process that takes over. One that can't be is cut if its client requests
 // the rest, and goes on in this process otherwise.
 func (r *relay) handOverOrCut() {
@@ -125,7 +148,12 @@
 		r.stopCutting()
 	}
 	_ = r.client.SetWriteDeadline(time.Time{}) // the connection may be reused
-	r.onEnd(decide.Cancelled, errClientLeft)   // has no effect if the stream has ended; otherwise the client has left
+	if r.conn != nil && !r.ended {
+		if owed := r.conn.owed.Load(); owed != nil {
+			owed.left.Store(true)
+		}
+	}
+	r.onEnd(decide.Cancelled, errClientLeft) // has no effect if the stream has ended; otherwise the client has left
 	return r.Stream.Close()
 }
 
--- /dev/null
+++ b/internal/httpfront/silencewatch.go
@@ -0,0 +1,96 @@
+package httpfront
+
+// The end of a worker's stream by its silence has one owner: the goroutine that reads the stream. The timer of a silenceWatch does
+// no more than wake it. It reads what has come, and judges then.
+
+import (
+	"sync"
+	"time"
+)
+
+// silenceWatch wakes the reader of a stream that is overdue: nothing has come for some time, or no event by its due time.
+type silenceWatch struct {
+	conn      *workerConn
+	nextEvent *eventClock
+	timer     *time.Timer
+
+	mu      sync.Mutex
+	reading bool          // the stream is being read
+	woken   bool          // the reader, since the read began
+	silence time.Duration // that is allowed
+	since   time.Duration // when the read began, since epoch
+}
+
+// start prepares a watch on a stream that arrives on conn.
+func (w *silenceWatch) start(conn *workerConn, nextEvent *eventClock) {
+	w.conn, w.nextEvent = conn, nextEvent
+	w.timer = time.AfterFunc(time.Hour, w.wakeIfOverdue)
+	conn.silence.Store(w)
+}
+
+// begin watches a read that begins now.
+func (w *silenceWatch) begin(silence time.Duration) {
+	w.mu.Lock()
+	w.reading, w.silence, w.since = true, silence, time.Since(epoch)
+	w.mu.Unlock()
+	w.timer.Reset(min(silence, w.nextEvent.left()))
+}
+
+// end records that the read has ended. The deadline that has woken the reader must not end the next read of the connection.
+func (w *silenceWatch) end() {
+	w.mu.Lock()
+	w.reading = false
+	if w.woken {
+		w.clearDeadlineLocked()
+	}
+	w.mu.Unlock()
+	w.timer.Stop()
+}
+
+// clearDeadline lets the reader go on.
+func (w *silenceWatch) clearDeadline() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clearDeadlineLocked()
+}
+
+func (w *silenceWatch) clearDeadlineLocked() {
+	w.woken = false
+	if !w.conn.handOverRequested.Load() {
+		_ = w.conn.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// requestHandOver wakes the reader, which hands the stream over unless there is input.
+func (w *silenceWatch) requestHandOver() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn.handOverRequested.Store(true)
+	return w.conn.Conn.SetReadDeadline(time.Now())
+}
+
+// left returns the time until the stream is overdue, and whether it is being read.
+func (w *silenceWatch) left() (left time.Duration, reading bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leftLocked(), w.reading
+}
+
+func (w *silenceWatch) leftLocked() time.Duration {
+	latest := max(w.since, time.Duration(w.conn.receivedAt.Load()))
+	return min(w.silence-(time.Since(epoch)-latest), w.nextEvent.left())
+}
+
+// wakeIfOverdue wakes the reader if the stream is overdue, and looks again later otherwise.
+func (w *silenceWatch) wakeIfOverdue() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch left := w.leftLocked(); {
+	case !w.reading:
+	case left > 0:
+		w.timer.Reset(left)
+	default:
+		w.woken = true
+		_ = w.conn.Conn.SetReadDeadline(time.Now())
+	}
+}
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -5,9 +5,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -230,3 +232,101 @@
 		<-written
 	})
 }
+
+// An event comes just before, at, or just after the time at which its stream is overdue. The client gets it, or the stream ends: what
+// it is given goes on.
+func TestEventCrossesTheEndBySilence(t *testing.T) {
+	const event = "data: {}\n\n"
+	for _, after := range []time.Duration{-time.Millisecond, -1, 0, 1, time.Millisecond} {
+		for range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				s, err := startStreamOf(t, func(c net.Conn) {
+					_, _ = io.WriteString(c, chunkedHead+chunk(event))
+					for range 2 {
+						time.Sleep(StreamStallTimeout + after)
+						_, _ = io.WriteString(c, chunk(event))
+					}
+					_, _ = io.WriteString(c, bodyEnd)
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+				text, err := io.ReadAll(s)
+				if whole := len(text) == 3*len(event); after < 0 && (!whole || err != nil) || after > 0 && len(text) > len(event) || err == nil && !whole {
+					t.Errorf("%v after the end: %d bytes, %v", after, len(text), err)
+				}
+				time.Sleep(3 * StreamStallTimeout) // until the worker has ended
+			})
+		}
+	}
+}
+
+// Where this process is late, a stream is judged behind what has come meanwhile, and the connection behind it serves on.
+func TestLateProcessJudgesStreamBehindItsInput(t *testing.T) {
+	const event = "data: {}\n\n"
+	for name, c := range map[string]struct {
+		input string
+		ends  bool
+	}{"an event": {chunk(event), false}, "the end": {bodyEnd, false}, "a comment": {chunk(": ping\n\n"), true}, "nothing": {"", true}} {
+		here, there := tcpPair(t)
+		conn := &workerConn{Conn: here, openConns: new(atomic.Int64), done: make(chan struct{})}
+		conn.awaitingAnswer.Store(true)
+		go io.WriteString(there, chunkedHead+chunk(event))
+		in := bufio.NewReader(conn)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := newStream(res, conn, false)
+		if err := s.readFirstEvent(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Read(make([]byte, len(event))); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(there, c.input); err != nil {
+			t.Fatal(err)
+		}
+		for len(c.input) > 0 && !hasUnreadInput(here) {
+		}
+		s.nextEvent.due.Store(int64(time.Since(epoch) - maxHeldUp)) // as if this process had stood still until now
+		s.silence.begin(StreamStallTimeout)
+		s.silence.wakeIfOverdue()
+		_, err = s.Read(make([]byte, len(event)))
+		if ended := errors.Is(err, errNoEvents); ended != c.ends {
+			t.Errorf("%s: %v", name, err)
+		}
+		if !errors.Is(err, io.EOF) {
+			continue
+		}
+		conn.awaitingAnswer.Store(true)
+		go io.WriteString(there, "HTTP/1.1 204 No Content\r\n\r\n")
+		if _, err := http.ReadResponse(in, nil); err != nil {
+			t.Errorf("%s: the next answer on the connection: %v", name, err)
+		}
+	}
+}
+
+// The reader of a stream that is woken by a timer as bytes have just come goes on, and so does the next read of the connection.
+func TestReaderWokenTooLateGoesOn(t *testing.T) {
+	for _, behindTheRead := range []bool{false, true} {
+		here, there := tcpPair(t)
+		conn := &workerConn{Conn: here, openConns: new(atomic.Int64), done: make(chan struct{})}
+		var clock eventClock
+		clock.stop()
+		watch := &silenceWatch{}
+		watch.start(conn, &clock)
+		watch.begin(-1)
+		watch.wakeIfOverdue()
+		if behindTheRead {
+			watch.end()
+		} else {
+			watch.begin(time.Minute) // as if bytes had come meanwhile
+		}
+		go io.WriteString(there, "x")
+		if n, err := conn.receive(make([]byte, 1)); n != 1 || err != nil {
+			t.Errorf("behind the read %v: %d bytes, %v", behindTheRead, n, err)
+		}
+	}
+}
--- a/internal/httpfront/stream.go
+++ b/internal/httpfront/stream.go
@@ -7,7 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"os"
 	"time"
 )
 
@@ -20,16 +20,12 @@
 
 // stream is a worker's streaming answer from its first event on.
 type stream struct {
-	res        *http.Response
-	conn       *workerConn // the connection that it arrives on
-	buffered   []byte      // received but not yet passed on
-	events     eventScanner
-	stallTimer *time.Timer
-
-	silence      atomic.Int64 // after which stallTimer closes the stream, 0: it does not
-	watchedSince atomic.Int64 // since epoch
-	nextEvent    eventClock
-	overdue      atomic.Bool // it was overdue as this process was late, and is looked at again
+	res       *http.Response
+	conn      *workerConn // the connection that it arrives on
+	buffered  []byte      // received but not yet passed on
+	events    eventScanner
+	silence   silenceWatch
+	nextEvent eventClock
 
 	readEnded  time.Time     // when Read last returned
 	resume     bool          // Workers.Resume
@@ -41,8 +37,8 @@
 func newStream(res *http.Response, conn *workerConn, resume bool) *stream {
 	s := &stream{res: res, conn: conn, resume: resume}
 	s.nextEvent.stop()
-	s.stallTimer = time.AfterFunc(time.Hour, s.closeIfStalled)
-	s.watchFor(firstEventTimeout)
+	s.silence.start(conn, &s.nextEvent)
+	s.silence.begin(firstEventTimeout)
 	return s
 }
 
@@ -68,7 +64,7 @@
 			}
 			if blockStart = start + blank; ok {
 				s.buffered = buf
-				s.stopWatching()
+				s.silence.end()
 				s.nextEvent.restart(0)
 				s.readEnded = time.Now()
 				return nil
@@ -102,9 +98,9 @@
 		}
 		return n, nil
 	}
-	s.watchFor(s.stallTimeout())
+	s.silence.begin(s.stallTimeout())
 	n, err := s.res.Body.Read(p)
-	s.stopWatching()
+	s.silence.end()
 	if now := time.Now(); n > 0 {
 		if !s.lastRead.IsZero() {
 			s.longestGap = max(s.longestGap, now.Sub(s.lastRead))
@@ -118,7 +114,7 @@
 		return n, scanErr
 	case s.events.events > before:
 		s.nextEvent.restart(0)
-	case err == nil && s.nextEvent.left() < -stallRecheck:
+	case err == nil && s.nextEvent.left() <= 0, errors.Is(err, os.ErrDeadlineExceeded):
 		return n, errNoEvents
 	}
 	if err == io.EOF {
@@ -129,40 +125,6 @@
 	return n, err
 }
 
-// watchFor has the stream closed once nothing has come for the given time, or no event by its due time.
-func (s *stream) watchFor(silence time.Duration) {
-	s.silence.Store(int64(silence))
-	s.watchedSince.Store(int64(time.Since(epoch)))
-	s.overdue.Store(false)
-	s.stallTimer.Reset(min(silence, s.nextEvent.left()))
-}
-
-func (s *stream) stopWatching() {
-	s.silence.Store(0)
-	s.stallTimer.Stop()
-}
-
-// closeIfStalled closes the stream if nothing has come for as long as watchFor was told, or no event in time, and looks again
-// later otherwise.
-func (s *stream) closeIfStalled() {
-	silence, latest := time.Duration(s.silence.Load()), time.Duration(s.watchedSince.Load())
-	if s.conn != nil {
-		latest = max(latest, time.Duration(s.conn.receivedAt.Load()))
-	}
-	switch left := min(silence-(time.Since(epoch)-latest), s.nextEvent.left()); {
-	case silence == 0: // not watched any more
-	case left > 0:
-		s.stallTimer.Reset(left)
-	case left < -heldUpTolerance && s.hasUnreadInput() && s.overdue.CompareAndSwap(false, true):
-		s.stallTimer.Reset(stallRecheck)
-	default:
-		s.res.Body.Close()
-	}
-}
-
-// hasUnreadInput reports whether more has come than was read.
-func (s *stream) hasUnreadInput() bool { return s.conn != nil && hasUnreadInput(s.conn.Conn) }
-
 // stallTimeout returns how long the stream may be silent. It is short for resumable streams because a connection to a
 // healthy worker can die silently, and each second until the client requests the rest slows the whole answer down.
 func (s *stream) stallTimeout() time.Duration {
@@ -178,12 +140,11 @@
 	if s.conn == nil || !isChunked(s.res) {
 		return false
 	}
-	s.conn.handOverRequested.Store(true)
-	return s.conn.Conn.SetReadDeadline(time.Now()) == nil
+	return s.silence.requestHandOver() == nil
 }
 
 // Close stops the stream and closes its connection unless the stream was complete.
 func (s *stream) Close() error {
-	s.stopWatching()
+	s.silence.end()
 	return s.res.Body.Close()
 }
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -48,16 +48,17 @@
 	net.Conn
 	openConns         *atomic.Int64 // counts the client's open connections
 	closed            atomic.Bool
-	awaitingAnswer    atomic.Bool                 // a request was written after the end of the last answer
-	mayWrite          atomic.Pointer[func() bool] // called before that write, nil: no check
-	receivedAt        atomic.Int64                // when bytes were last received, since epoch
-	outbound          delivery.Outbound           // of the requests on it
-	done              chan struct{}               // closed with the connection
-	unusable          atomic.Bool                 // must not be used for another request
-	handOverRequested atomic.Bool                 // another process is to continue the answer
-	handOverFD        int                         // the duplicated socket, set once Read has returned errHandedOver
-	addr              string                      // of the worker
-	registry          *connRegistry               // holds the connection until it is closed
+	awaitingAnswer    atomic.Bool                  // a request was written after the end of the last answer
+	mayWrite          atomic.Pointer[func() bool]  // called before that write, nil: no check
+	receivedAt        atomic.Int64                 // when bytes were last received, since epoch
+	outbound          delivery.Outbound            // of the requests on it
+	done              chan struct{}                // closed with the connection
+	unusable          atomic.Bool                  // must not be used for another request
+	handOverRequested atomic.Bool                  // another process is to continue the answer
+	handOverFD        int                          // the duplicated socket, set once Read has returned errHandedOver
+	addr              string                       // of the worker
+	registry          *connRegistry                // holds the connection until it is closed
+	silence           atomic.Pointer[silenceWatch] // of the stream that arrives on it, nil: there was none
 
 	watchMu sync.Mutex
 	watch   *attemptWatch // of the attempt in progress, nil once its answer has ended; see cancel.go
@@ -164,6 +165,15 @@
 	return !errors.Is(err, delivery.ErrNotASocket) && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.ENOMEM)
 }
 
+// freshInputSpan is how long after bytes were received what reads them may not have judged them yet.
+const freshInputSpan = 10 * time.Millisecond
+
+// hasUnjudgedInput reports whether bytes have come that were not read, or were read just now, since a time relative to epoch.
+func (c *workerConn) hasUnjudgedInput(since time.Duration) bool {
+	receivedAt := time.Duration(c.receivedAt.Load())
+	return receivedAt > since && time.Since(epoch)-receivedAt < freshInputSpan || hasUnreadInput(c.Conn)
+}
+
 // peek looks at the next byte of a connection without consuming it. It returns 0 at the end of the input and an error
 // if there is none yet.
 func peek(c net.Conn) (n int, err error) {
@@ -293,11 +303,11 @@
 }
 
 // receive reads from the socket. A deadline that is over does not count for input that was there: this process was late, not the
-// worker.
+// worker. Nor does one that was set for the silence of a stream that is not overdue any more.
 func (c *workerConn) receive(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.handOverRequested.Load() && hasUnreadInput(c.Conn) {
-		_ = c.Conn.SetReadDeadline(time.Time{}) // it does not wait
+	for errors.Is(err, os.ErrDeadlineExceeded) && !c.handOverRequested.Load() && (hasUnreadInput(c.Conn) || c.wokenTooLate()) {
+		c.clearReadDeadline()
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
@@ -306,6 +316,24 @@
 	return n, err
 }
 
+// wokenTooLate reports whether the stream that is being read is not overdue.
+func (c *workerConn) wokenTooLate() bool {
+	watch := c.silence.Load()
+	if watch == nil {
+		return false
+	}
+	left, reading := watch.left()
+	return reading && left > 0
+}
+
+func (c *workerConn) clearReadDeadline() {
+	if watch := c.silence.Load(); watch != nil {
+		watch.clearDeadline()
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{})
+}
+
 // fail makes all further reads return err and keeps the connection from being used again.
 func (c *workerConn) fail(err error) {
 	c.unusable.Store(true)
@@ -390,6 +418,9 @@
 func (c *workerConn) end(extra int) {
 	c.state = inHead
 	c.setWatch(nil)
+	if watch := c.silence.Swap(nil); watch != nil {
+		watch.end()
+	}
 	c.outbound.Answered()
 	switch {
 	case extra > 0:
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -130,6 +130,28 @@
 	ClientGone func() bool
 	mu         sync.Mutex
 	bridged    []wireTransport
+	latest     string // worker of the latest attempt
+	running    int    // attempts that have not returned
+}
+
+// beginAttempt records an attempt at a worker until end is called.
+func (x *Exchange) beginAttempt(worker string) (end func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.latest = worker
+	x.running++
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.running--
+	}
+}
+
+// latestAttempt returns the worker of the latest attempt, and whether an attempt has not returned.
+func (x *Exchange) latestAttempt() (worker string, running bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.latest, x.running > 0
 }
 
 // DropBody releases the body. It is called once there is an answer, after which nothing but releases is sent for the request.
@@ -191,6 +213,7 @@
 
 // Try implements core.Transport. It sends the attempt again on another connection only if nothing of it was written.
 func (x *Exchange) Try(ctx context.Context, a core.Attempt) core.Result {
+	defer x.beginAttempt(a.To.ID)()
 	x.mu.Lock()
 	payload, bridged := x.Body, x.bridged
 	x.mu.Unlock()
@@ -251,6 +274,8 @@
 				watch.conn.Store(c)
 				c.setWatch(watch)
 				c.begin(ctx, delivery.Attempt, &a.MaySend, w.after)
+				sentAt := time.Since(epoch)
+				a.ObserveInput(func() bool { return c.hasUnjudgedInput(sentAt) })
 			}
 			// Set just before the transport writes the head, because connecting may have taken long.
 			if req := outgoing.Load(); req != nil {
--- a/internal/scale/soak/streamchecks.go
+++ b/internal/scale/soak/streamchecks.go
@@ -15,8 +15,9 @@
 const (
 	eventDelayLimit = 300 * time.Millisecond // until an event is passed on
 	endDelayLimit   = time.Second            // until the end of an answer is passed on
-	// workerPatience is how long after a worker's last event its stream must not be cut off: almost as long as its client may wait.
-	workerPatience = clientPatience - 150*time.Millisecond
+	// workerPatience is how long after a worker's last event its stream must not be cut off: as long as its client may wait, less the 0.15 s for
+	// which a router may be held up and the way to the client.
+	workerPatience = clientPatience - 200*time.Millisecond
 )
 
 // workerAnswer is an answer to a write as its worker's proxy has passed it on.
