Tests and rigs of crossed ends: a process that is held up, routers held up, first events near cancellations

Its proxies record who has ended a connection first, and resets as they happen: a stream that its router has cut is no longer excused by the end of the connection that follows.

--- a/internal/core/overdue_test.go
+++ b/internal/core/overdue_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"strings"
@@ -28,6 +29,68 @@
 	return b.text.Write(p)
 }
 
+// holdUp has the shell stop this process, and lets it go on after the given time.
+func holdUp(t *testing.T, d time.Duration) {
+	t.Helper()
+	script := fmt.Sprintf("kill -STOP %d; sleep %f; kill -CONT %[1]d", os.Getpid(), d.Seconds())
+	if out, err := exec.Command("sh", "-c", script).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+}
+
+// The process is held up while the first tokens of many requests and the cancellations of their attempts, whose workers are silent,
+// become due together. No client is given a stream that this router has cancelled.
+func TestFirstTokensBesideCancellationsWhereTheProcessWasHeldUp(t *testing.T) {
+	const (
+		requests = 400
+		rounds   = 3
+		silence  = 350 * time.Millisecond // after which the module gives up a worker, by settings
+		spread   = 20 * time.Millisecond
+	)
+	for range rounds {
+		var written sync.WaitGroup
+		written.Add(requests)
+		s := &scriptedTransport{try: func(ctx context.Context, a Attempt) Result {
+			switch {
+			case a.Read:
+				return Result{Status: decide.Read}
+			case a.Number > 1:
+				return Result{Stream: ctx}
+			}
+			wait := silence - spread + time.Duration(rand.Int64N(int64(2*spread)))
+			written.Done()
+			select {
+			case <-time.After(wait):
+				return Result{Stream: ctx}
+			case <-ctx.Done():
+				return Result{Status: decide.Cancelled}
+			}
+		}}
+		c := newTestCore(t, s, "w", "w2")
+		var all sync.WaitGroup
+		for range requests {
+			all.Go(func() {
+				answer := c.Serve(context.Background(), newRequest(safeClass, 5*time.Second), s)
+				if answer.Verdict != Streaming {
+					return
+				}
+				stream := answer.Stream.(context.Context)
+				select {
+				case <-stream.Done():
+					t.Errorf("a client was given a stream that was cancelled: %v", context.Cause(stream))
+				case <-time.After(spread):
+				}
+				answer.StreamEnded(decide.Served, nil)
+			})
+		}
+		written.Wait()
+		time.Sleep(silence / 2)
+		holdUp(t, silence)
+		all.Wait()
+		waitSettled(t, c)
+	}
+}
+
 // The process is held up through the deadlines of many requests, so that the module's timers and those of the requests are due
 // together. The module gives the answers, whichever timers come first.
 func TestRequestsAreNotOverdueWhereTheProcessWasHeldUp(t *testing.T) {
@@ -46,11 +109,7 @@
 		all.Go(func() { c.Serve(context.Background(), newRequest(unsafeClass, left), s) })
 	}
 	<-attempts
-	// The shell stops this process, and has it go on behind the deadlines.
-	script := fmt.Sprintf("kill -STOP %d; sleep %f; kill -CONT %[1]d", os.Getpid(), (2 * left).Seconds())
-	if out, err := exec.Command("sh", "-c", script).CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	holdUp(t, 2*left)
 	all.Wait()
 	waitSettled(t, c)
 	if n := strings.Count(log.text.String(), "overdue"); n > 0 {
--- a/internal/scale/faultproxy/answers.go
+++ b/internal/scale/faultproxy/answers.go
@@ -41,6 +41,8 @@
 	EventsInOneChunk
 	// EventLate holds a stream back behind its first event, for the delay. The answer is whole.
 	EventLate
+	// StartLate holds the answer back from its first byte on, for the delay. The answer is whole.
+	StartLate
 )
 
 // Break is how an answer is broken off.
@@ -92,11 +94,26 @@
 	p.drawAnswer = draw
 }
 
+// MuteCalls sets whether answers to anything but attempts, such as probes, are held back for good while the server's answer to an
+// attempt starts late. Their connections stay open.
+func (p *Proxy) MuteCalls(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mutesCalls = on
+}
+
+func (p *Proxy) countLateStart(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateStarts += n
+}
+
 // answerSpoiler passes the server's answers on one connection to the client, and spoils some of them.
 type answerSpoiler struct {
-	proxy  *Proxy
-	client *net.TCPConn
-	ended  <-chan struct{} // closed as the session is reset
+	proxy   *Proxy
+	session *session
+	client  *net.TCPConn
+	ended   <-chan struct{} // closed as the session is reset
 
 	spoilt    SpoiltAnswer
 	text      []byte  // of the answer so far, if it is a spoilt one
@@ -111,11 +128,15 @@
 // begin draws the fault of an answer that begins with b.
 func (a *answerSpoiler) begin(b []byte) {
 	a.proxy.mu.Lock()
-	draw := a.proxy.drawAnswer
+	draw, mute := a.proxy.drawAnswer, a.proxy.mutesCalls && a.proxy.lateStarts > 0
 	a.proxy.mu.Unlock()
-	a.spoilt, a.text, a.held, a.answer = SpoiltAnswer{}, nil, false, a.proxy.beginAnswer()
-	if draw != nil && (bytes.Contains(b, []byte(streamType)) || bytes.HasPrefix(b, []byte(readAnswerStart))) {
+	a.spoilt, a.text, a.held, a.answer = SpoiltAnswer{}, nil, false, a.session.beginAnswer()
+	isAttempt := bytes.Contains(b, []byte(streamType)) || bytes.HasPrefix(b, []byte(readAnswerStart))
+	switch {
+	case isAttempt && draw != nil:
 		a.spoilt = draw()
+	case !isAttempt && mute:
+		a.muted = true
 	}
 }
 
@@ -128,7 +149,9 @@
 		return len(b), a.continueOneChunk(string(b))
 	}
 	if bytes.HasPrefix(b, []byte(answerStart)) {
-		a.begin(b)
+		if a.begin(b); a.muted {
+			return len(b), nil
+		}
 	}
 	if a.spoilt.Fault != AnswerWhole {
 		a.text = append(a.text, b...)
@@ -159,6 +182,11 @@
 		return a.sendSlowEnd(string(events))
 	case fault == EventsInOneChunk && isStream:
 		return a.beginOneChunk(b)
+	case fault == StartLate && !a.held:
+		a.held = true
+		a.proxy.countLateStart(1)
+		a.pause()
+		a.proxy.countLateStart(-1)
 	case fault == EventLate && hasEvent && !a.held:
 		a.held = true
 		defer a.pause()
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -62,6 +62,8 @@
 	stalled    int // number of open connections that have waited for the end of a stall
 	onStall    *sync.Cond
 	drawAnswer func() SpoiltAnswer // nil: answers pass unchanged
+	mutesCalls bool                // only answers to attempts pass while one of them starts late
+	lateStarts int                 // answers that are held back from their first byte on
 	recording  bool                // answers are recorded
 	answers    []*Answer
 }
@@ -76,6 +78,8 @@
 	silenced           bool // SilenceOpen has silenced this session for good
 	lossy              bool // bytes were lost to a silence
 	stalled            bool // it has waited for the end of a stall
+	firstEnd           endSide
+	answer             *Answer // the record of the latest answer, nil without one
 }
 
 // Start starts a Proxy in front of target.
@@ -154,6 +158,7 @@
 	for s := range p.sessions {
 		s.bytesBeforeSilence = bytes
 		if !isSilent(fault) && s.lossy {
+			s.noteEndLocked(endedByFault)
 			s.reset()
 		}
 	}
@@ -174,6 +179,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
+		s.noteEndLocked(endedByFault)
 		s.reset()
 	}
 }
@@ -325,7 +331,7 @@
 	if fromClient {
 		buffer = buffer[:s.proxy.readSize]
 	} else {
-		answers := &answerSpoiler{proxy: s.proxy, client: to, ended: s.ended}
+		answers := &answerSpoiler{proxy: s.proxy, session: s, client: to, ended: s.ended}
 		defer func() { s.proxy.endAnswer(answers.answer) }()
 		out = answers
 	}
@@ -336,6 +342,7 @@
 		n, err := from.Read(buffer)
 		if pass := s.countPassing(n, fromClient); pass > 0 {
 			if _, err := out.Write(buffer[:pass]); err != nil {
+				s.noteEnd(sideOf(!fromClient))
 				s.reset()
 				return
 			}
@@ -343,6 +350,7 @@
 		if err == nil {
 			continue
 		}
+		s.noteEnd(sideOf(fromClient))
 		if s.isSilenced() && !fromClient {
 			return // the client must not notice
 		}
@@ -356,6 +364,13 @@
 	}
 }
 
+func sideOf(client bool) endSide {
+	if client {
+		return endedByClient
+	}
+	return endedByServer
+}
+
 func (s *session) isSilenced() bool {
 	s.proxy.mu.Lock()
 	defer s.proxy.mu.Unlock()
--- a/internal/scale/faultproxy/record.go
+++ b/internal/scale/faultproxy/record.go
@@ -12,6 +12,36 @@
 type Answer struct {
 	Pieces  []Piece
 	EndedAt time.Time // when the server's connection ended, or the answer was broken off; zero: it was not
+	// ClientEnded is whether the client ended the connection, and neither the server nor a fault had done so before.
+	ClientEnded bool
+}
+
+// endSide is the side that has ended a connection first.
+type endSide int
+
+const (
+	notEnded endSide = iota
+	endedByClient
+	endedByServer
+	endedByFault
+)
+
+// noteEnd records which side has ended the connection, if none has before.
+func (s *session) noteEnd(side endSide) {
+	s.proxy.mu.Lock()
+	defer s.proxy.mu.Unlock()
+	s.noteEndLocked(side)
+}
+
+// noteEndLocked is noteEnd for callers that hold the proxy's mutex.
+func (s *session) noteEndLocked(side endSide) {
+	if s.firstEnd != notEnded {
+		return
+	}
+	s.firstEnd = side
+	if s.answer != nil && s.answer.EndedAt.IsZero() {
+		s.answer.EndedAt, s.answer.ClientEnded = time.Now(), side == endedByClient
+	}
 }
 
 // RecordAnswers has the proxy keep a record of the answers that begin from now on.
@@ -32,15 +62,16 @@
 }
 
 // beginAnswer begins the record of an answer. It returns nil if answers are not recorded.
-func (p *Proxy) beginAnswer() *Answer {
+func (s *session) beginAnswer() *Answer {
+	p := s.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.recording {
 		return nil
 	}
-	a := &Answer{}
-	p.answers = append(p.answers, a)
-	return a
+	s.answer = &Answer{}
+	p.answers = append(p.answers, s.answer)
+	return s.answer
 }
 
 // record adds a piece to an answer's record.
--- a/internal/scale/soak/deployment.go
+++ b/internal/scale/soak/deployment.go
@@ -270,6 +270,10 @@
 		d.stallGroup(f)
 	case AnswersSpoilt:
 		d.spoilAnswers(f)
+	case AnswersStartLate:
+		d.delayStarts(f)
+	case RouterHeldUp:
+		d.routers[f.Target].holdUp(f)
 	case ReadsBroken:
 		breaking, deaf := d.plan.splitReaders(f)
 		var both sync.WaitGroup
@@ -376,6 +380,20 @@
 	}
 }
 
+// delayStarts has many workers answer no calls, and attempts late.
+func (d *deployment) delayStarts(f Fault) {
+	group := d.plan.group(f)
+	for _, i := range group {
+		d.workers[i].proxy.SetAnswers(f.lateStarts(i, i < d.plan.Readers))
+		d.workers[i].proxy.MuteCalls(true)
+	}
+	time.Sleep(f.Duration)
+	for _, i := range group {
+		d.workers[i].proxy.SetAnswers(nil)
+		d.workers[i].proxy.MuteCalls(false)
+	}
+}
+
 // delayNetwork sets a fault of a worker's network for its duration.
 func (d *deployment) delayNetwork(w *worker, f Fault, set func()) {
 	from := time.Now()
--- a/internal/scale/soak/router.go
+++ b/internal/scale/soak/router.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -264,6 +265,17 @@
 	}
 }
 
+// holdUp stops the process and lets it go on, again and again.
+func (r *router) holdUp(f Fault) {
+	random := rand.New(rand.NewPCG(f.Choice, uint64(r.number)))
+	for began := time.Now(); time.Since(began) < f.Duration; {
+		r.signal(syscall.SIGSTOP)
+		time.Sleep(minHeldUp + time.Duration(random.Int64N(int64(maxHeldUp-minHeldUp))))
+		r.signal(syscall.SIGCONT)
+		time.Sleep(minHeldUpPause + time.Duration(random.Int64N(int64(maxHeldUpPause-minHeldUpPause))))
+	}
+}
+
 func (r *router) signal(s os.Signal) {
 	r.mu.Lock()
 	p := r.command.Process
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -48,6 +48,8 @@
 	SlowCrowd         FaultKind = "slow crowd"          // many clients of one router are slow
 	WorkersStall      FaultKind = "workers stall"       // many at once read no more in the middle of requests, with small receive buffers
 	AnswersSpoilt     FaultKind = "answers spoilt"      // some answers of all workers come twice, have no end, or end in unusual ways
+	AnswersStartLate  FaultKind = "answers start late"  // many workers answer no probe, and attempts about when routers give them up
+	RouterHeldUp      FaultKind = "router held up"      // SIGSTOP and SIGCONT, again and again
 )
 
 // Fault is one fault of a schedule. It begins at At, counted from the start of the workload, and lasts for Duration.
@@ -118,6 +120,17 @@
 	minBytesBeforeStall   = 100
 	maxBytesBeforeStall   = 4000
 	maxSignalsAtEnd       = 4
+	minHeldUp             = 20 * time.Millisecond // for which a router is held up at once ...
+	maxHeldUp             = 140 * time.Millisecond
+	minHeldUpPause        = 20 * time.Millisecond // ... and between two such times
+	maxHeldUpPause        = 220 * time.Millisecond
+	minCrossingTime       = 2 * time.Second
+	maxCrossingTime       = 6 * time.Second
+	startLateShare        = 80                     // percent of the answers
+	minWriteDelay         = 140 * time.Millisecond // of an answer to a write: routers give up silent writers after 180 ms
+	maxWriteDelay         = 260 * time.Millisecond
+	minReadDelay          = 350 * time.Millisecond // of an answer to a read: routers give up silent readers after 420 ms and more
+	maxReadDelay          = 900 * time.Millisecond
 )
 
 var workerFaults = []FaultKind{WorkerSilent, WorkerSilent, WorkerUnreachable, WorkerUnreachable, WorkerRefuses, WorkerDelayed,
@@ -145,6 +158,9 @@
 	for n := range faultsOfEnds {
 		drawn = append(drawn, p.randomFaultOfEnds(WorkersStall, n), p.randomFaultOfEnds(AnswersSpoilt, n))
 	}
+	for n := range faultsOfEnds {
+		drawn = append(drawn, p.randomCrossingFault(AnswersStartLate, n), p.randomCrossingFault(RouterHeldUp, n))
+	}
 	for range p.Faults {
 		drawn = append(drawn, p.randomFault(random))
 	}
@@ -235,6 +251,32 @@
 	return f
 }
 
+// randomCrossingFault draws the n-th fault of a kind that makes messages due together. It has a source of its own, like a client fault.
+func (p Plan) randomCrossingFault(kind FaultKind, n int) Fault {
+	random := rand.New(rand.NewPCG(p.Seed, uint64(len(kind))<<16|uint64(n)))
+	return Fault{Kind: kind, Target: random.IntN(p.Routers), Choice: random.Uint64(), Amount: minShare + random.IntN(maxShare-minShare),
+		At:       faultFreeStart + time.Duration(random.Int64N(int64(p.Length-faultFreeStart))),
+		Duration: minCrossingTime + time.Duration(random.Int64N(int64(maxCrossingTime-minCrossingTime)))}
+}
+
+// lateStarts returns the source of the delays of one worker's answers.
+func (f Fault) lateStarts(worker int, reader bool) func() faultproxy.SpoiltAnswer {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(f.Choice, uint64(worker)))
+	shortest, longest := minWriteDelay, maxWriteDelay
+	if reader {
+		shortest, longest = minReadDelay, maxReadDelay
+	}
+	return func() faultproxy.SpoiltAnswer {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.IntN(100) >= startLateShare {
+			return faultproxy.SpoiltAnswer{}
+		}
+		return faultproxy.SpoiltAnswer{Fault: faultproxy.StartLate, Delay: shortest + time.Duration(random.Int64N(int64(longest-shortest)))}
+	}
+}
+
 // bytesBeforeStall returns how much of a request the workers take before they stall.
 func (f Fault) bytesBeforeStall() int {
 	return minBytesBeforeStall + int(f.Choice%(maxBytesBeforeStall-minBytesBeforeStall))
@@ -317,6 +359,8 @@
 	switch f.Kind {
 	case RouterTerminated, RouterKilled:
 		return fmt.Sprint("router ", f.Target)
+	case RouterHeldUp:
+		return fmt.Sprint("held up ", f.Target)
 	case WorkerStopped, WorkerKilled:
 		return fmt.Sprint("worker ", f.Target)
 	case WorkerSilent, WorkerUnreachable, WorkerRefuses, WorkerDelayed: // a proxy has one fault at a time
--- a/internal/scale/soak/streamchecks.go
+++ b/internal/scale/soak/streamchecks.go
@@ -25,6 +25,8 @@
 	events  []time.Time // when each event with data was complete
 	wholeAt time.Time   // when its last byte passed; zero: it did not
 	endedAt time.Time   // when its connection ended or it was broken off; zero: not yet
+	// cutByRouter is whether the router ended that connection, and neither the worker nor its network had done so before.
+	cutByRouter bool
 }
 
 var (
@@ -54,7 +56,7 @@
 		}
 		return at
 	}
-	parsed.endedAt = recorded.EndedAt
+	parsed.endedAt, parsed.cutByRouter = recorded.EndedAt, recorded.ClientEnded
 	if end := answerEnd.FindStringIndex(text); end != nil {
 		parsed.wholeAt = passedAt(end[1])
 		text = text[:end[1]] // a second answer may follow
@@ -141,7 +143,7 @@
 			lastEvent = at
 		}
 	}
-	brokenOff := !a.endedAt.IsZero() && a.endedAt.Before(s.ended.Add(slack))
+	brokenOff := !a.endedAt.IsZero() && !a.cutByRouter && a.endedAt.Before(s.ended.Add(slack))
 	if waited := s.ended.Sub(lastEvent); !s.complete && !brokenOff && waited < workerPatience {
 		report(RuleNotCutOff, "was cut off %v after its worker's last event", waited)
 	}
