A long timeout does not end right after the process was held up

A step that ended late by up to half its length counted as in time: an attempt of 4 s was ended up to 0.5 s late without what had come being read. The tolerance is 30 ms at most now, and the extra step 50 ms at most.

TestLongTimeoutEndsBehindWhatHasCome fails before and passes.

--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	steps     = 4                     // in which a timeout is counted
-	tolerance = 10 * time.Millisecond // by which a step may be late before this process counts as held up
+	steps        = 4                     // in which a timeout is counted
+	tolerance    = 10 * time.Millisecond // by which a step may be late before this process counts as held up; half a step if that is longer ...
+	maxTolerance = 30 * time.Millisecond // ... but not more than this
+	extraStep    = 50 * time.Millisecond // the longest step behind the last one, in which what has come is read
 )
 
 // WithTimeout returns a context that ends after d of silence, with a cause that wraps cause and context.DeadlineExceeded.
@@ -49,8 +51,12 @@
 		w.ended = true
 		return true
 	}
-	w.due = now.Add(w.step)
-	w.timer.Reset(w.step)
+	next := w.step
+	if w.left <= 0 {
+		next = min(next, extraStep)
+	}
+	w.due = now.Add(next)
+	w.timer.Reset(next)
 	return false
 }
 
@@ -78,5 +84,5 @@
 // was held up, this process has not read what has come.
 func (w *wait) isOver(now time.Time) bool {
 	w.left--
-	return w.left <= 0 && now.Sub(w.due) <= max(tolerance, w.step/2)
+	return w.left <= 0 && now.Sub(w.due) <= min(max(tolerance, w.step/2), maxTolerance)
 }
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -69,3 +69,23 @@
 		}
 	})
 }
+
+// However long a timeout is, it does not end right after the process was held up, and not much later either.
+func TestLongTimeoutEndsBehindWhatHasCome(t *testing.T) {
+	const timeout, heldUp = 4 * time.Second, 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var called atomic.Int64
+		w := &wait{step: timeout / steps, left: 1, due: time.Now().Add(-heldUp)} // the last step ends late
+		w.timer = time.AfterFunc(time.Hour, func() {
+			if w.tick() {
+				called.Add(1)
+			}
+		})
+		if w.tick() {
+			t.Error("over right after the process was held up")
+		}
+		if time.Sleep(extraStep + 1); called.Load() != 1 {
+			t.Errorf("called %d times within the extra step, want 1", called.Load())
+		}
+	})
+}
