A woken reader that finds a part of a trailer is woken again; the soak's proxies record only what passes

The timer of the silent stream had woken its reader; the reader found input, a trailer without an end, and read on with no deadline. A part of a trailer is nothing that reaches the stream, so nobody judged it again.

TestLateProcessJudgesStreamBehindItsInput has the case: it hangs without the change.

--- a/internal/httpfront/silencewatch.go
+++ b/internal/httpfront/silencewatch.go
@@ -17,6 +17,7 @@
 	mu      sync.Mutex
 	reading bool          // the stream is being read
 	woken   bool          // the reader, since the read began
+	readsOn time.Time     // until when the woken reader reads what has come; zero: it has not begun to
 	silence time.Duration // that is allowed
 	since   time.Duration // when the read began, since epoch
 }
@@ -31,7 +32,7 @@
 // begin watches a read that begins now.
 func (w *silenceWatch) begin(silence time.Duration) {
 	w.mu.Lock()
-	w.reading, w.silence, w.since = true, silence, time.Since(epoch)
+	w.reading, w.silence, w.since, w.readsOn = true, silence, time.Since(epoch), time.Time{}
 	w.mu.Unlock()
 	w.timer.Reset(min(silence, w.nextEvent.left()))
 }
@@ -47,11 +48,31 @@
 	w.timer.Stop()
 }
 
-// clearDeadline lets the reader go on.
-func (w *silenceWatch) clearDeadline() {
+// clearDeadline lets the woken reader go on: for some time where there is input, and for good where the stream is not overdue any
+// more. It returns false if the stream is to end.
+func (w *silenceWatch) clearDeadline(hasInput bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
+	if w.readsOn.IsZero() {
+		w.readsOn = now.Add(stallRecheck)
+	}
+	inTime := w.reading && w.leftLocked() > 0
+	if !inTime && !(hasInput && now.Before(w.readsOn)) {
+		return false
+	}
 	w.clearDeadlineLocked()
+	w.woken = !inTime
+	return true
+}
+
+// wakeAgain has the reader look at what has come behind the input that it has read, if it was woken.
+func (w *silenceWatch) wakeAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.woken && w.reading && !w.conn.handOverRequested.Load() {
+		_ = w.conn.Conn.SetReadDeadline(time.Now())
+	}
 }
 
 func (w *silenceWatch) clearDeadlineLocked() {
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -268,7 +268,8 @@
 	for name, c := range map[string]struct {
 		input string
 		ends  bool
-	}{"an event": {chunk(event), false}, "the end": {bodyEnd, false}, "a comment": {chunk(": ping\n\n"), true}, "nothing": {"", true}} {
+	}{"an event": {chunk(event), false}, "the end": {bodyEnd, false}, "a comment": {chunk(": ping\n\n"), true}, "nothing": {"", true},
+		"a trailer without its end": {"0\r\nX-Trailer: x", true}, "a chunk without its size": {"1;x", true}} {
 		here, there := tcpPair(t)
 		conn := &workerConn{Conn: here, openConns: new(atomic.Int64), done: make(chan struct{})}
 		conn.awaitingAnswer.Store(true)
@@ -292,8 +293,9 @@
 		}
 		s.nextEvent.due.Store(int64(time.Since(epoch) - maxHeldUp)) // as if this process had stood still until now
 		s.silence.begin(StreamStallTimeout)
-		s.silence.wakeIfOverdue()
-		_, err = s.Read(make([]byte, len(event)))
+		s.silence.timer.Stop()
+		s.silence.wakeIfOverdue() // once
+		_, err = s.readWatched(make([]byte, len(event)))
 		if ended := errors.Is(err, errNoEvents); ended != c.ends {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/httpfront/stream.go
+++ b/internal/httpfront/stream.go
@@ -99,6 +99,11 @@
 		return n, nil
 	}
 	s.silence.begin(s.stallTimeout())
+	return s.readWatched(p)
+}
+
+// readWatched is a Read that silence has begun to watch.
+func (s *stream) readWatched(p []byte) (int, error) {
 	n, err := s.res.Body.Read(p)
 	s.silence.end()
 	if now := time.Now(); n > 0 {
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -306,32 +306,28 @@
 // worker. Nor does one that was set for the silence of a stream that is not overdue any more.
 func (c *workerConn) receive(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for errors.Is(err, os.ErrDeadlineExceeded) && !c.handOverRequested.Load() && (hasUnreadInput(c.Conn) || c.wokenTooLate()) {
-		c.clearReadDeadline()
+	for errors.Is(err, os.ErrDeadlineExceeded) && !c.handOverRequested.Load() && c.readsOn() {
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
 		c.receivedAt.Store(int64(time.Since(epoch)))
+		if watch := c.silence.Load(); watch != nil {
+			watch.wakeAgain()
+		}
 	}
 	return n, err
 }
 
-// wokenTooLate reports whether the stream that is being read is not overdue.
-func (c *workerConn) wokenTooLate() bool {
-	watch := c.silence.Load()
-	if watch == nil {
-		return false
-	}
-	left, reading := watch.left()
-	return reading && left > 0
-}
-
-func (c *workerConn) clearReadDeadline() {
+// readsOn clears the deadline that is over if the connection may be read on, and reports whether it may.
+func (c *workerConn) readsOn() bool {
+	hasInput := hasUnreadInput(c.Conn)
 	if watch := c.silence.Load(); watch != nil {
-		watch.clearDeadline()
-		return
+		return watch.clearDeadline(hasInput)
+	}
+	if hasInput {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // it does not wait
 	}
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	return hasInput
 }
 
 // fail makes all further reads return err and keeps the connection from being used again.
--- a/internal/scale/faultproxy/answers.go
+++ b/internal/scale/faultproxy/answers.go
@@ -222,6 +222,9 @@
 func (a *answerSpoiler) send(text string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.session.hasEnded() {
+		return errBrokenOff // what was held back until now does not pass
+	}
 	a.proxy.record(a.answer, text)
 	_, err := io.WriteString(a.client, text)
 	return err
--- a/internal/scale/faultproxy/ends_test.go
+++ b/internal/scale/faultproxy/ends_test.go
@@ -90,7 +90,52 @@
 	p.Reset()
 	_, _ = io.Copy(io.Discard, res.Body)
 	p.Close()
-	if answers := p.Answers(); len(answers) != 1 || answers[0].EndedAt.IsZero() {
-		t.Errorf("recorded %v", answers)
+	answers := p.Answers()
+	if len(answers) != 1 || answers[0].EndedAt.IsZero() || answers[0].ClientEnded {
+		t.Fatalf("recorded %v", answers)
+	}
+	for _, piece := range answers[0].Pieces {
+		if strings.HasSuffix(piece.Text, chunkedEnd) || piece.At.After(answers[0].EndedAt) {
+			t.Errorf("recorded %v, which did not pass", piece)
+		}
+	}
+}
+
+// The record of an answer says whether its client has ended the connection, or the server.
+func TestRecordSaysWhoEndedAnAnswer(t *testing.T) {
+	for _, byClient := range []bool{false, true} {
+		broken, ended := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", streamType)
+			io.WriteString(w, "data: 1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-broken:
+			case <-r.Context().Done():
+			}
+			close(ended)
+			panic(http.ErrAbortHandler)
+		}))
+		p, err := Start(server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.RecordAnswers()
+		res, err := http.Get("http://" + p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if byClient {
+			res.Body.Close()
+		} else {
+			close(broken)
+			_, _ = io.Copy(io.Discard, res.Body)
+		}
+		<-ended
+		p.Close()
+		server.Close()
+		if answers := p.Answers(); len(answers) != 1 || answers[0].EndedAt.IsZero() || answers[0].ClientEnded != byClient {
+			t.Errorf("by the client %v: recorded %+v", byClient, answers)
+		}
 	}
 }
--- a/internal/scale/faultproxy/record.go
+++ b/internal/scale/faultproxy/record.go
@@ -33,6 +33,13 @@
 	s.noteEndLocked(side)
 }
 
+// hasEnded reports whether the client or a fault has ended the connection.
+func (s *session) hasEnded() bool {
+	s.proxy.mu.Lock()
+	defer s.proxy.mu.Unlock()
+	return s.firstEnd == endedByClient || s.firstEnd == endedByFault
+}
+
 // noteEndLocked is noteEnd for callers that hold the proxy's mutex.
 func (s *session) noteEndLocked(side endSide) {
 	if s.firstEnd != notEnded {
