The table of crossings is late at the crossing, in one loop, and tells a shutdown from a failure

The goroutine of a request was late before the crossing and not at it, so that the table passed with a part of the mend taken out: a doubt that cancels what has begun, a failure that goes before it. It is late now from when the crossed attempt is out.

--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -18,21 +18,25 @@
 const (
 	crossingSeeds = 30
 	maxLateness   = 150 * time.Millisecond // by which a request's goroutine is late
-	crossingAt    = 200 * time.Millisecond // after the attempt that is crossed was sent
+	crossingAt    = 60 * time.Millisecond  // after the attempt that is crossed was sent
+	timedRequest  = 100 * time.Millisecond // what a request has whose time crosses its answer
 	crossingStep  = time.Microsecond       // by which one message comes before the other
 	streamTime    = time.Second            // of an answer's stream
 )
 
-// lateInSeededOrder returns an order in which messages are taken: the goroutine is late, and a random one of those that have come is
-// first.
-func lateInSeededOrder(seed uint64) func(inputs) inputs {
+// lateInSeededOrder returns an order in which messages are taken: once an attempt is out whose answer is crossed, the goroutine is late,
+// and a random one of those that have come meanwhile is first.
+func (x *crossing) lateInSeededOrder(seed uint64) func(inputs) inputs {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(seed, 1))
 	return func(all inputs) inputs {
 		mu.Lock()
 		late, first := time.Duration(random.Int64N(int64(maxLateness))), random.IntN(3)
 		mu.Unlock()
-		time.Sleep(late)
+		time.Sleep(crossingStep) // an attempt that was just sent begins
+		if x.crossed() >= 0 {
+			time.Sleep(late)
+		}
 		for n := range 3 {
 			switch (first + n) % 3 {
 			case 0:
@@ -55,29 +59,33 @@
 
 // crossing is a run in which something crosses an attempt's answer.
 type crossing struct {
-	core  *Core
-	id    decide.RequestID
-	leave context.CancelFunc // of the client
+	core         *Core
+	id           decide.RequestID
+	leave        context.CancelFunc // of the client
+	crossesReads bool               // the first read is crossed, not the first write
 
 	mu       sync.Mutex
-	attempt  int               // whose answer is crossed, negative: not sent yet
-	began    bool              // its answer has begun
-	contexts []context.Context // of the attempts
+	attempt  int                     // whose answer is crossed, negative: not sent yet
+	began    bool                    // its answer has begun
+	contexts map[int]context.Context // of the attempts, by number
 }
 
-// begin records that an attempt was sent. It reports whether that is the first write.
+// begin records that an attempt was sent. It reports whether that is the one that is crossed.
 func (x *crossing) begin(ctx context.Context, a Attempt) (first bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.contexts = append(x.contexts, ctx)
-	if first = !a.Read && x.attempt < 0; first {
+	if x.contexts == nil {
+		x.contexts = make(map[int]context.Context)
+	}
+	x.contexts[a.Number] = ctx
+	if first = (!a.Read || x.crossesReads) && x.attempt < 0; first {
 		x.attempt = a.Number
 	}
 	return first
 }
 
 // end returns what has become of the attempts.
-func (x *crossing) end() (attempt int, began bool, contexts []context.Context) {
+func (x *crossing) end() (attempt int, began bool, contexts map[int]context.Context) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.attempt, x.began, x.contexts
@@ -113,22 +121,41 @@
 // endsForGood reports whether a request whose answer has begun may be ended all the same: nobody is there, or the process ends.
 func endsForGood(cause string) bool { return cause == "a leave" || cause == "a shutdown" }
 
-// A client gets a stream only if that is whole as far as this router goes, whatever crosses its first event. An answer that has
-// come goes before every doubt about its worker and before the end of its time.
-func TestFirstEventCrossesEveryEnd(t *testing.T) {
+// way is one way in which a cause crosses an attempt's answer.
+type way struct {
+	cause string
+	cross func(*crossing) // nil: time
+	class int
+	after time.Duration // the answer, negative: before it
+	seed  uint64
+}
+
+// String returns the way for messages of failed tests.
+func (w way) String() string {
+	return fmt.Sprintf("%s, %v after the answer, class %d, seed %d", w.cause, w.after, w.class, w.seed)
+}
+
+// crossEachWay runs a test for each way on a virtual clock. The two times are left out unless timed is set.
+func crossEachWay(t *testing.T, timed bool, run func(t *testing.T, w way)) {
 	for cause, cross := range crossedBy {
+		if cross == nil && !timed {
+			continue
+		}
 		for _, class := range []int{safeClass, unsafeClass} {
 			for _, after := range []time.Duration{-crossingStep, 0, crossingStep} {
 				for seed := range uint64(crossingSeeds) {
-					name := fmt.Sprintf("%s %v after the first event, class %d, seed %d", cause, after, class, seed)
-					synctest.Test(t, func(t *testing.T) { crossFirstEvent(t, name, cause, cross, class, after, seed) })
+					synctest.Test(t, func(t *testing.T) { run(t, way{cause, cross, class, after, seed}) })
 				}
 			}
 		}
 	}
 }
 
-func crossFirstEvent(t *testing.T, name, cause string, cross func(*crossing), class int, after time.Duration, seed uint64) {
+// A client gets a stream only if that is whole as far as this router goes, whatever crosses its first event. An answer that has
+// come goes before every doubt about its worker and before the end of its time.
+func TestFirstEventCrossesEveryEnd(t *testing.T) { crossEachWay(t, true, crossFirstEvent) }
+
+func crossFirstEvent(t *testing.T, w way) {
 	s, x := &stateWorkers{}, &crossing{attempt: -1}
 	s.try = func(ctx context.Context, a Attempt) Result {
 		first := x.begin(ctx, a)
@@ -140,10 +167,10 @@
 		if first {
 			wait := crossingAt
 			switch {
-			case cross != nil:
-				time.AfterFunc(crossingAt+after, func() { cross(x) })
+			case w.cross != nil:
+				time.AfterFunc(crossingAt+w.after, func() { w.cross(x) })
 			default:
-				wait = a.Remaining() - after
+				wait = a.Remaining() - w.after
 			}
 			select {
 			case <-time.After(wait):
@@ -157,25 +184,31 @@
 		return Result{Stream: a.Number}
 	}
 	x.core = newStateCore(t, s)
-	x.core.order = lateInSeededOrder(seed)
+	x.core.order = x.lateInSeededOrder(w.seed)
 	client, leave := context.WithCancel(t.Context())
 	defer leave()
 	x.leave, x.id = leave, 1
 	left := 5 * time.Second
-	if cause == "the request's time" {
-		left = crossingAt
+	if w.cross == nil {
+		left = timedRequest
+	}
+	answer := x.core.Serve(client, newRequest(w.class, left), s)
+	x.core.mu.Lock()
+	stopping := x.core.stopping
+	x.core.mu.Unlock()
+	if answer.Verdict == Streaming && stopping && w.after != 0 {
+		t.Errorf("%s: a stream was given to the client after the shutdown had ended all requests", w)
 	}
-	answer := x.core.Serve(client, newRequest(class, left), s)
 	if answer.Verdict == Streaming {
 		_, _, contexts := x.end()
 		ctx := contexts[answer.Stream.(int)]
 		if ctx.Err() != nil && client.Err() == nil {
-			t.Errorf("%s: the client was given a stream that is cancelled: %v", name, context.Cause(ctx))
+			t.Errorf("%s: the client was given a stream that is cancelled: %v", w, context.Cause(ctx))
 		}
 		select {
 		case <-ctx.Done():
 			if client.Err() == nil {
-				t.Errorf("%s: the client's stream was cancelled: %v", name, context.Cause(ctx))
+				t.Errorf("%s: the client's stream was cancelled: %v", w, context.Cause(ctx))
 			}
 			answer.StreamEnded(decide.Reset, context.Cause(ctx))
 		case <-time.After(streamTime):
@@ -183,44 +216,31 @@
 		}
 	}
 	crossed, began, _ := x.end()
-	inTime := cause != "the request's time" // which the late goroutine may have used up by then
-	if began && after > 0 && inTime && !endsForGood(cause) && (answer.Verdict != Streaming || answer.Stream != crossed) {
-		t.Errorf("%s: got verdict %v and stream %v", name, answer.Verdict, answer.Stream)
+	inTime := w.cause != "the request's time" // which the late goroutine may have used up by then
+	if began && w.after > 0 && inTime && !endsForGood(w.cause) && (answer.Verdict != Streaming || answer.Stream != crossed) {
+		t.Errorf("%s: got verdict %v and stream %v", w, answer.Verdict, answer.Stream)
 	}
-	if class == safeClass && cause == "a cancellation" && answer.Verdict == Failed {
-		t.Errorf("%s: failed, though a repeat is harmless", name)
+	if w.class == safeClass && w.cause == "a cancellation" && answer.Verdict == Failed {
+		t.Errorf("%s: failed, though a repeat is harmless", w)
 	}
 	waitSettled(t, x.core)
-	s.check(t, name)
+	s.check(t, w.String())
 	_, _, contexts := x.end()
 	for _, ctx := range contexts {
 		if ctx.Err() == nil {
-			t.Errorf("%s: the context of an attempt never ends", name)
+			t.Errorf("%s: the context of an attempt never ends", w)
 		}
 	}
 	time.Sleep(time.Minute) // until the timers of the module have fired
 }
 
 // A read's end is known to the router whatever crosses it, and the state that the read leaves is fetched or released once it has.
-func TestReadsEndCrossesEveryEnd(t *testing.T) {
-	for cause, cross := range crossedBy {
-		if cross == nil {
-			continue
-		}
-		for _, class := range []int{safeClass, unsafeClass} {
-			for _, after := range []time.Duration{-crossingStep, 0, crossingStep} {
-				for seed := range uint64(crossingSeeds) {
-					name := fmt.Sprintf("%s %v after the read's end, class %d, seed %d", cause, after, class, seed)
-					synctest.Test(t, func(t *testing.T) { crossReadsEnd(t, name, cause, cross, class, after, seed) })
-				}
-			}
-		}
-	}
-}
+func TestReadsEndCrossesEveryEnd(t *testing.T) { crossEachWay(t, false, crossReadsEnd) }
 
-func crossReadsEnd(t *testing.T, name, cause string, cross func(*crossing), class int, after time.Duration, seed uint64) {
-	s, x := &stateWorkers{}, &crossing{}
+func crossReadsEnd(t *testing.T, w way) {
+	s, x := &stateWorkers{}, &crossing{attempt: -1, crossesReads: true}
 	s.try = func(ctx context.Context, a Attempt) Result {
+		x.begin(ctx, a)
 		if !a.Read {
 			s.fetch()
 			return Result{Stream: a.Number}
@@ -229,7 +249,7 @@
 			s.hold(a.To.ID)
 			return Result{Status: decide.Read}
 		}
-		time.AfterFunc(crossingAt+after, func() { cross(x) })
+		time.AfterFunc(crossingAt+w.after, func() { w.cross(x) })
 		time.Sleep(crossingAt) // the reader goes on with the read
 		s.hold(a.To.ID)
 		if ctx.Err() != nil {
@@ -238,59 +258,53 @@
 		return Result{Status: decide.Read}
 	}
 	x.core = newStateCore(t, s)
-	x.core.order = lateInSeededOrder(seed)
+	x.core.order = x.lateInSeededOrder(w.seed)
 	client, leave := context.WithCancel(t.Context())
 	defer leave()
 	x.leave, x.id = leave, 1
-	answer := x.core.Serve(client, newRequest(class, 5*time.Second), s)
-	if cause == "a cancellation" && answer.Verdict != Streaming && answer.Verdict != Refused { // late as it is, it may run out of attempts
-		t.Errorf("%s: got verdict %v, want a stream, or a refusal as nothing has run", name, answer.Verdict)
+	answer := x.core.Serve(client, newRequest(w.class, 5*time.Second), s)
+	if w.cause == "a cancellation" && answer.Verdict != Streaming && answer.Verdict != Refused { // late as it is, it may run out of attempts
+		t.Errorf("%s: got verdict %v, want a stream, or a refusal as nothing has run", w, answer.Verdict)
 	}
 	if answer.Verdict == Streaming {
 		answer.StreamEnded(decide.Served, nil)
 	}
 	waitSettled(t, x.core)
-	s.check(t, name)
+	s.check(t, w.String())
 	time.Sleep(time.Minute) // until the timers of the module have fired
 }
 
 // The end of a stream is reported once, whatever crosses it, and nothing breaks a stream that has its answer.
-func TestStreamsEndCrossesEveryEnd(t *testing.T) {
-	for cause, cross := range crossedBy {
-		if cross == nil {
-			continue
-		}
-		for _, after := range []time.Duration{-crossingStep, 0, crossingStep} {
-			for seed := range uint64(crossingSeeds) {
-				synctest.Test(t, func(t *testing.T) {
-					s, x := &stateWorkers{}, &crossing{attempt: -1}
-					s.try = func(ctx context.Context, a Attempt) Result {
-						if a.Read {
-							return Result{Status: decide.Read}
-						}
-						x.begin(ctx, a)
-						return Result{Stream: a.Number}
-					}
-					x.core = newStateCore(t, s)
-					x.core.order = lateInSeededOrder(seed)
-					client, leave := context.WithCancel(t.Context())
-					defer leave()
-					x.leave, x.id = leave, 1
-					answer := x.core.Serve(client, newRequest(unsafeClass, 5*time.Second), s)
-					time.AfterFunc(crossingAt+after, func() { cross(x) })
-					time.Sleep(crossingAt)
-					_, _, contexts := x.end()
-					if stream := contexts[len(contexts)-1]; answer.Verdict != Streaming || stream.Err() != nil && client.Err() == nil {
-						t.Errorf("%s %v after the stream's end, seed %d: verdict %v, stream %v", cause, after, seed, answer.Verdict, context.Cause(stream))
-					}
-					answer.StreamEnded(decide.Served, nil)
-					answer.StreamEnded(decide.Reset, nil)
-					waitSettled(t, x.core)
-					time.Sleep(time.Minute) // until the timers of the module have fired
-				})
-			}
+func TestStreamsEndCrossesEveryEnd(t *testing.T) { crossEachWay(t, false, crossStreamsEnd) }
+
+func crossStreamsEnd(t *testing.T, w way) {
+	s, x := &stateWorkers{}, &crossing{attempt: -1}
+	s.try = func(ctx context.Context, a Attempt) Result {
+		if a.Read {
+			return Result{Status: decide.Read}
 		}
+		x.begin(ctx, a)
+		return Result{Stream: a.Number}
 	}
+	x.core = newStateCore(t, s)
+	x.core.order = x.lateInSeededOrder(w.seed)
+	client, leave := context.WithCancel(t.Context())
+	defer leave()
+	x.leave, x.id = leave, 1
+	answer := x.core.Serve(client, newRequest(w.class, 5*time.Second), s)
+	time.AfterFunc(crossingAt+w.after, func() { w.cross(x) })
+	time.Sleep(crossingAt)
+	if answer.Verdict != Streaming {
+		t.Fatalf("%s: verdict %v", w, answer.Verdict)
+	}
+	_, _, contexts := x.end()
+	if stream := contexts[answer.Stream.(int)]; stream.Err() != nil && client.Err() == nil {
+		t.Errorf("%s: the stream was cancelled: %v", w, context.Cause(stream))
+	}
+	answer.StreamEnded(decide.Served, nil)
+	answer.StreamEnded(decide.Reset, nil)
+	waitSettled(t, x.core)
+	time.Sleep(time.Minute) // until the timers of the module have fired
 }
 
 // What has come from a worker is read before its silence is judged, for as long as that may take, and no longer.
