The soak's proxies record when they had a request's last byte; the check of ends uses it

The check took the time at which a worker took a request for the time at which it left its router.

Change: a proxy, which holds a few bytes at a time, records when it has read a request's last byte; that time is judged where it is known. The check is exact for large requests too.

--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -332,3 +332,27 @@
 		}
 	}
 }
+
+// Input counts as not judged while it waits to be read, and shortly after it was, but not input from before the request was sent.
+func TestInputThatHasComeIsNotJudgedYet(t *testing.T) {
+	here, there := tcpPair(t)
+	c := &workerConn{Conn: here}
+	now := time.Since(epoch)
+	for name, x := range map[string]struct {
+		receivedAt, sentAt time.Duration
+		unjudged           bool
+	}{"just now": {now + time.Hour, now - time.Second, true}, "earlier": {now - 10*freshInputSpan, now - time.Second, false}, "before the request": {now, now + time.Second, false}} {
+		c.receivedAt.Store(int64(x.receivedAt + time.Since(epoch) - now))
+		if got := c.hasUnjudgedInput(x.sentAt); got != x.unjudged {
+			t.Errorf("received %s: %v", name, got)
+		}
+	}
+	if _, err := io.WriteString(there, "x"); err != nil {
+		t.Fatal(err)
+	}
+	for !hasUnreadInput(here) {
+	}
+	if !c.hasUnjudgedInput(time.Hour) {
+		t.Error("input that waits to be read counts as judged")
+	}
+}
--- a/internal/scale/faultproxy/faultproxy.go
+++ b/internal/scale/faultproxy/faultproxy.go
@@ -66,6 +66,7 @@
 	lateStarts int                 // answers that are held back from their first byte on
 	recording  bool                // answers are recorded
 	answers    []*Answer
+	requests   []Request
 }
 
 // session is a client's connection and the corresponding one to the target.
@@ -328,6 +329,7 @@
 func (s *session) forward(to, from *net.TCPConn, fromClient bool) {
 	buffer := make([]byte, bufferBytes)
 	out := io.Writer(to)
+	requests := &requestTracker{}
 	if fromClient {
 		buffer = buffer[:s.proxy.readSize]
 	} else {
@@ -340,6 +342,9 @@
 			s.waitForStallEnd()
 		}
 		n, err := from.Read(buffer)
+		if fromClient {
+			requests.feed(buffer[:n], s.proxy.recordRequest)
+		}
 		if pass := s.countPassing(n, fromClient); pass > 0 {
 			if _, err := out.Write(buffer[:pass]); err != nil {
 				s.noteEnd(sideOf(!fromClient))
--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -101,18 +101,25 @@
 	routers          []*router
 	eventsByID       map[string][]event
 	answers          map[string][]workerAnswer // to writes, by request
+	received         map[receiver][]time.Time  // when the workers' proxies had the last bytes of requests
 	lateness         time.Duration             // Report.Lateness
 }
 
 func (d *deployment) checkInvariants() Report {
 	rec := &records{events: d.ledger.snapshot(), requests: d.requestLog.finished, healthChanges: d.healthChanges,
 		discoveryOutages: d.discoveryOutages, agentSilences: d.agentSilences, workerPauses: d.workerPauses, networkDelays: d.networkDelays, standstills: d.standstills, routers: d.routers,
-		eventsByID: make(map[string][]event), lateness: d.lateness}
+		eventsByID: make(map[string][]event), received: make(map[receiver][]time.Time), lateness: d.lateness}
 	var answers []faultproxy.Answer
 	for _, w := range d.workers {
 		answers = append(answers, w.proxy.Answers()...)
 	}
 	rec.answers = parseAnswers(answers)
+	for _, w := range d.workers {
+		for _, r := range w.proxy.Requests() {
+			key := receiver{w.host, r.ID}
+			rec.received[key] = append(rec.received[key], r.LastByteAt)
+		}
+	}
 	for _, e := range rec.events {
 		rec.eventsByID[e.id] = append(rec.eventsByID[e.id], e)
 	}
@@ -515,7 +522,7 @@
 	for _, s := range rec.requests {
 		end := s.end()
 		for _, e := range rec.eventsByID[s.id] {
-			late := e.at.Sub(end)
+			late := rec.receivedAt(e).Sub(end)
 			if e.kind != attemptArrived || s.hasReturnedBy(e.at) || late <= endGrace+clockSlack || rec.mayHaveArrivedBefore(s, e) {
 				continue
 			}
@@ -526,6 +533,21 @@
 	return found
 }
 
+// receiver is a worker whose proxy has received a request.
+type receiver struct{ host, id string }
+
+// receivedAt returns when an attempt's last byte had left its router's machine: when the worker's proxy had it, where that is known. The
+// proxy takes few bytes at a time, and what it has taken its worker may take later.
+func (rec *records) receivedAt(arrived event) time.Time {
+	latest := arrived.at
+	for _, at := range rec.received[receiver{arrived.host, arrived.id}] {
+		if !at.After(arrived.at) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // end returns when nothing more was to be sent for a request: its client had left, or had its answer or the beginning of it.
 func (s *clientRequest) end() time.Time {
 	switch {
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -199,6 +199,10 @@
 			rec.requests[0].disconnectedAt, rec.requests[0].answeredAt = recordTime(-400), time.Time{}
 			rec.routers[0].log = []logLine{{recordTime(0), "msg=send txn=a n=0 worker=r ", recordTime(-399)}}
 		}},
+		"a request whose last byte leaves its router behind its end": {RuleEndHeeded, func(rec *records) {
+			rec.eventsByID["a"][3].at = recordTime(600)
+			rec.received = map[receiver][]time.Time{{"w", "a"}: {recordTime(590)}}
+		}},
 		"another request's text": {RuleOwnText, func(rec *records) { rec.requests[0].foreignEvents = 1 }},
 		"a wait without events": {RuleStreamEnds, func(rec *records) {
 			rec.requests[0].lastEventAt, rec.requests[0].ended = recordTime(300), recordTime(5400)
@@ -231,6 +235,20 @@
 	}
 }
 
+// A request whose last byte had left its router in time is no violation, however late its worker takes it.
+func TestRequestThatLeftInTimeMayBeTakenLate(t *testing.T) {
+	rec := newRecords().withEvents(normalEvents()...)
+	rec.eventsByID["a"][3].at = recordTime(900)
+	rec.requests[0].promptBytes = minLargePrompt
+	if found := checkEnds(rec); len(found) == 0 {
+		t.Error("without the proxy's record it is none")
+	}
+	rec.received = map[receiver][]time.Time{{"w", "a"}: {recordTime(250)}}
+	if found := checkEnds(rec); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+}
+
 // A line that arrives late was logged at its own time, unless that is the time of a clock that was stepped.
 func TestLogLinesHaveTheirOwnTime(t *testing.T) {
 	arrived := time.Date(2026, 12, 5, 21, 38, 14, 57e6, time.UTC)
