--- a/internal/core/activerequest.go
+++ b/internal/core/activerequest.go
@@ -69,6 +69,7 @@
 type attempt struct {
 	Attempt
 	began    time.Time
+	ending   attemptEnd // its owner; Attempt.end points to it
 	inFlight bool
 
 	guardChecked atomic.Bool // the sending guard was asked
@@ -274,7 +275,8 @@
 	a := &attempt{Attempt: Attempt{Number: n, To: w, Deadline: now.Add(remaining), Read: req.isReader(w), CancelGrace: req.cancelGrace()}, began: now, inFlight: true}
 	a.MaySend = func() bool { return req.checkSendAllowed(a) }
 	ctx, stop := context.WithCancelCause(context.Background())
-	a.end = &attemptEnd{stop: stop, streamsBegun: &req.streamsBegun}
+	a.end = &a.ending
+	a.ending.stop, a.ending.streamsBegun = stop, &req.streamsBegun
 	a.Verify = !a.Read && req.stateWaiting && req.settings.CanProbe
 	repeatAllowed := req.checkRepeatAllowed(a.Read)
 	req.attempts = append(req.attempts, a)
--- a/internal/core/attemptend.go
+++ b/internal/core/attemptend.go
@@ -36,12 +36,26 @@
 
 // attemptEnd is the owner of an attempt's end. It is safe for concurrent use.
 type attemptEnd struct {
-	stop         context.CancelCauseFunc     // ends the context of the attempt and of its stream
-	hasUnjudged  atomic.Pointer[func() bool] // see Attempt.ObserveInput
-	streamsBegun *atomic.Int32               // attempts of the request whose streams have begun and were not taken
+	stop         context.CancelCauseFunc // ends the context of the attempt and of its stream
+	streamsBegun *atomic.Int32           // attempts of the request whose streams have begun and were not taken
 
 	mu    sync.Mutex
 	state attemptState
+	input InputSource // nil: none is known
+}
+
+func (e *attemptEnd) observe(input InputSource) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.input = input
+}
+
+// hasUnjudgedInput reports whether the attempt runs and something has come from its worker that was not judged yet.
+func (e *attemptEnd) hasUnjudgedInput() bool {
+	e.mu.Lock()
+	state, input := e.state, e.input
+	e.mu.Unlock()
+	return state == attemptRunning && input != nil && input.HasUnjudgedInput()
 }
 
 // move changes the state if it is from, and reports whether it was.
@@ -79,7 +93,7 @@
 // doubt cancels the attempt because its worker has been silent for too long, unless its stream has begun. What has come from the
 // worker is judged first.
 func (e *attemptEnd) doubt(cause error) {
-	if unjudged := e.hasUnjudged.Load(); unjudged != nil && e.is(attemptRunning) && (*unjudged)() {
+	if e.hasUnjudgedInput() {
 		patience.AfterFunc(unjudgedInputWait, func() { e.cancelRunning(cause) })
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,11 +66,15 @@
 // cancelled before: then the stream must not be passed on. It is for transports whose streams others carry.
 func (a Attempt) BeginStream() bool { return a.end == nil || a.end.beginStream() }
 
-// ObserveInput gives the core a function that reports whether something has come from the worker that Try has not read or not judged
-// yet. The worker does not count as silent before that was judged.
-func (a Attempt) ObserveInput(unjudged func() bool) {
+// InputSource reports whether something has come from an attempt's worker that Try has not read or not judged yet.
+type InputSource interface {
+	HasUnjudgedInput() bool
+}
+
+// ObserveInput tells the core where the attempt's input comes. The worker does not count as silent before that was judged.
+func (a Attempt) ObserveInput(input InputSource) {
 	if a.end != nil {
-		a.end.hasUnjudged.Store(&unjudged)
+		a.end.observe(input)
 	}
 }
 
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -307,6 +307,12 @@
 	time.Sleep(time.Minute) // until the timers of the module have fired
 }
 
+// inputState is an InputSource that has unjudged input, or not.
+type inputState bool
+
+// HasUnjudgedInput implements InputSource.
+func (s inputState) HasUnjudgedInput() bool { return bool(s) }
+
 // What has come from a worker is read before its silence is judged, for as long as that may take, and no longer.
 func TestSilenceIsJudgedBehindWhatHasCome(t *testing.T) {
 	for name, x := range map[string]struct {
@@ -325,7 +331,7 @@
 					return Result{Status: decide.Read}
 				}
 				if a.Number == 1 {
-					a.ObserveInput(func() bool { return x.unjudged })
+					a.ObserveInput(inputState(x.unjudged))
 					crossed.begin(ctx, a)
 					time.AfterFunc(crossingAt, func() { crossedBy["a cancellation"](crossed) })
 					select {
--- a/internal/core/executor.go
+++ b/internal/core/executor.go
@@ -86,14 +86,15 @@
 // SetTimer implements decide.Executor.
 func (x *executor) SetTimer(token uint64, at time.Duration) {
 	c := (*Core)(x)
-	fire := func() { c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, token) }) }
-	time.AfterFunc(at-c.clock(), func() {
-		if c.clock()-at > timerTolerance {
-			time.AfterFunc(lateTimerWait, fire)
-			return
-		}
-		fire()
-	})
+	time.AfterFunc(at-c.clock(), func() { c.timerDue(token, at) })
+}
+
+// timerDue passes a timer that was due at the given time to the module, somewhat later if it is late.
+func (c *Core) timerDue(token uint64, at time.Duration) {
+	if c.clock()-at > timerTolerance {
+		time.Sleep(lateTimerWait)
+	}
+	c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, token) })
 }
 
 // Probe implements decide.Executor. A failed probe is not reported to the module.
--- a/internal/httpfront/cancel.go
+++ b/internal/httpfront/cancel.go
@@ -21,6 +21,7 @@
 	cancel       context.CancelCauseFunc
 	sent         *atomic.Bool // net/http has received the request's last byte
 	conn         atomic.Pointer[workerConn]
+	sentAt       atomic.Int64 // when the request was about to be written, since epoch
 	cancelGrace  time.Duration
 	after        func(time.Duration) <-chan time.Time
 	stopWatching func() bool // stops watching attemptCtx
@@ -71,6 +72,12 @@
 	return false
 }
 
+// HasUnjudgedInput implements core.InputSource.
+func (w *attemptWatch) HasUnjudgedInput() bool {
+	conn := w.conn.Load()
+	return conn != nil && conn.hasUnjudgedInput(time.Duration(w.sentAt.Load()))
+}
+
 // finish records that the attempt has ended without a stream.
 func (w *attemptWatch) finish() {
 	w.stopWatching()
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -95,7 +95,8 @@
 	case broken && r.conn.inputEnded.Load(): // which ends the request and, with it, the stream
 		owed.left.Store(true)
 	case broken:
-		owed.broken.Store(&err)
+		why := err
+		owed.broken.Store(&why)
 	}
 	r.ended = r.ended || err != nil
 }
--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -134,17 +134,18 @@
 	running    int    // attempts that have not returned
 }
 
-// beginAttempt records an attempt at a worker until end is called.
-func (x *Exchange) beginAttempt(worker string) (end func()) {
+// beginAttempt records an attempt at a worker until endAttempt is called.
+func (x *Exchange) beginAttempt(worker string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.latest = worker
 	x.running++
-	return func() {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.running--
-	}
+}
+
+func (x *Exchange) endAttempt() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.running--
 }
 
 // latestAttempt returns the worker of the latest attempt, and whether an attempt has not returned.
@@ -213,7 +214,8 @@
 
 // Try implements core.Transport. It sends the attempt again on another connection only if nothing of it was written.
 func (x *Exchange) Try(ctx context.Context, a core.Attempt) core.Result {
-	defer x.beginAttempt(a.To.ID)()
+	x.beginAttempt(a.To.ID)
+	defer x.endAttempt()
 	x.mu.Lock()
 	payload, bridged := x.Body, x.bridged
 	x.mu.Unlock()
@@ -274,8 +276,8 @@
 				watch.conn.Store(c)
 				c.setWatch(watch)
 				c.begin(ctx, delivery.Attempt, &a.MaySend, w.after)
-				sentAt := time.Since(epoch)
-				a.ObserveInput(func() bool { return c.hasUnjudgedInput(sentAt) })
+				watch.sentAt.Store(int64(time.Since(epoch)))
+				a.ObserveInput(watch)
 			}
 			// Set just before the transport writes the head, because connecting may have taken long.
 			if req := outgoing.Load(); req != nil {
