--- a/internal/httpfront/silencewatch.go
+++ b/internal/httpfront/silencewatch.go
@@ -90,13 +90,7 @@
 	return w.conn.Conn.SetReadDeadline(time.Now())
 }
 
-// left returns the time until the stream is overdue, and whether it is being read.
-func (w *silenceWatch) left() (left time.Duration, reading bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.leftLocked(), w.reading
-}
-
+// leftLocked returns the time until the stream is overdue.
 func (w *silenceWatch) leftLocked() time.Duration {
 	latest := max(w.since, time.Duration(w.conn.receivedAt.Load()))
 	return min(w.silence-(time.Since(epoch)-latest), w.nextEvent.left())
