A refusal is no answer that was ended as whole: the test of cut answers sends again

Traced under fourteen loops: each was answered 503 "no server may be sent to" with an empty body, 215 ms after it came. The one writer had answered no probe in time; a refusal is a whole answer of the router's own, and nothing had run. The test took its end for that of a stream.

Change: the test's client sends again after the time that a refusal names, and an answer other than 200 fails: all 120 ends are played. Nothing is allowed that was not.

--- a/cmd/rowanyard/wholeanswer_test.go
+++ b/cmd/rowanyard/wholeanswer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,14 +21,34 @@
 	endChoices     = 120             // of faultproxy.EndCutOff: each byte of both ends, and each way to break off
 )
 
+// sendUntilTaken sends a draft, and again where it is refused, after the time that the refusal names: beside load a writer may count as
+// silent, and there are few.
+func sendUntilTaken(p *program, id string) (*http.Response, error) {
+	for {
+		res, err := http.DefaultClient.Do(newRequest(p, id, "draft-reply"))
+		if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+			return res, err
+		}
+		res.Body.Close()
+		seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		if err != nil {
+			return res, err
+		}
+		<-time.After(time.Duration(seconds * float64(time.Second)))
+	}
+}
+
 // readStream sends a draft and reads its answer. It returns the answer's text, and when it had its events and its end.
 func readStream(t *testing.T, p *program, id string) (text string, events, ended time.Time, err error) {
-	res, err := http.DefaultClient.Do(newRequest(p, id, "draft-reply"))
+	res, err := sendUntilTaken(p, id)
 	if err != nil {
 		t.Error(err)
 		return "", events, time.Now(), err
 	}
 	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Errorf("%s: answered with %d", id, res.StatusCode)
+	}
 	buffer := make([]byte, 1<<10)
 	for err == nil {
 		var n int
