The limits of a process that is held up are said once; the crossings share their start

0.15 s stood in core and httpfront, and the tolerance of 10 ms under four names: package patience has both now (MaxHeldUp, Tolerance). The three tests of crossings set up their run in one place. No value, check or bound changes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,7 @@
 	"rowanyard/internal/inflight"
 	"rowanyard/internal/invariant"
 	"rowanyard/internal/openids"
+	"rowanyard/internal/patience"
 )
 
 // Worker is an entry of the worker list: the decision module's view of the worker, and how a Transport reaches it.
@@ -178,10 +179,9 @@
 
 // What the network has beyond the pin limit (pinLimitGrace) is shared out.
 const (
-	maxHeldUp       = 150 * time.Millisecond // for which this process may be held up
-	releaseDelivery = 50 * time.Millisecond  // for a release: a call that goes unanswered is repeated after releaseHedgeDelay
+	releaseDelivery = 50 * time.Millisecond // for a release: a call that goes unanswered is repeated after releaseHedgeDelay
 	// writeArrivalSlack is how long past the pin limit a state may stay held while its write has probably arrived.
-	writeArrivalSlack = pinLimitGrace - maxHeldUp - releaseDelivery
+	writeArrivalSlack = pinLimitGrace - patience.MaxHeldUp - releaseDelivery
 )
 
 // busyRetryAfter is the advice to a client that a front has no room for.
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	crossingSeeds = 30
-	maxLateness   = 150 * time.Millisecond // by which a request's goroutine is late
-	crossingAt    = 60 * time.Millisecond  // after the attempt that is crossed was sent
-	timedRequest  = 100 * time.Millisecond // what a request has whose time crosses its answer
-	crossingStep  = time.Microsecond       // by which one message comes before the other
-	streamTime    = time.Second            // of an answer's stream
+	crossingSeeds  = 30
+	maxLateness    = 150 * time.Millisecond // by which a request's goroutine is late
+	crossingAt     = 60 * time.Millisecond  // after the attempt that is crossed was sent
+	timedRequest   = 100 * time.Millisecond // what a request has whose time crosses its answer
+	untimedRequest = 5 * time.Second        // what other requests have
+	crossingStep   = time.Microsecond       // by which one message comes before the other
+	streamTime     = time.Second            // of an answer's stream
 )
 
 // lateInSeededOrder returns an order in which messages are taken: once an attempt is out whose answer is crossed, the goroutine is late,
@@ -111,6 +112,16 @@
 	do((*executor)(x.core))
 }
 
+// serve has a late core serve the run's request, and returns its answer and its client.
+func (x *crossing) serve(t *testing.T, w way, left time.Duration, s *stateWorkers) (Answer, context.Context) {
+	x.core = newStateCore(t, s)
+	x.core.order = x.lateInSeededOrder(w.seed)
+	client, leave := context.WithCancel(t.Context())
+	t.Cleanup(leave)
+	x.leave, x.id = leave, 1
+	return x.core.Serve(client, newRequest(w.class, left), s), client
+}
+
 // crossed returns the number of the attempt whose answer is crossed.
 func (x *crossing) crossed() int {
 	x.mu.Lock()
@@ -183,16 +194,11 @@
 		}
 		return Result{Stream: a.Number}
 	}
-	x.core = newStateCore(t, s)
-	x.core.order = x.lateInSeededOrder(w.seed)
-	client, leave := context.WithCancel(t.Context())
-	defer leave()
-	x.leave, x.id = leave, 1
-	left := 5 * time.Second
+	left := untimedRequest
 	if w.cross == nil {
 		left = timedRequest
 	}
-	answer := x.core.Serve(client, newRequest(w.class, left), s)
+	answer, client := x.serve(t, w, left, s)
 	x.core.mu.Lock()
 	stopping := x.core.stopping
 	x.core.mu.Unlock()
@@ -257,12 +263,7 @@
 		}
 		return Result{Status: decide.Read}
 	}
-	x.core = newStateCore(t, s)
-	x.core.order = x.lateInSeededOrder(w.seed)
-	client, leave := context.WithCancel(t.Context())
-	defer leave()
-	x.leave, x.id = leave, 1
-	answer := x.core.Serve(client, newRequest(w.class, 5*time.Second), s)
+	answer, _ := x.serve(t, w, untimedRequest, s)
 	if w.cause == "a cancellation" && answer.Verdict != Streaming && answer.Verdict != Refused { // late as it is, it may run out of attempts
 		t.Errorf("%s: got verdict %v, want a stream, or a refusal as nothing has run", w, answer.Verdict)
 	}
@@ -286,12 +287,7 @@
 		x.begin(ctx, a)
 		return Result{Stream: a.Number}
 	}
-	x.core = newStateCore(t, s)
-	x.core.order = x.lateInSeededOrder(w.seed)
-	client, leave := context.WithCancel(t.Context())
-	defer leave()
-	x.leave, x.id = leave, 1
-	answer := x.core.Serve(client, newRequest(w.class, 5*time.Second), s)
+	answer, client := x.serve(t, w, untimedRequest, s)
 	time.AfterFunc(crossingAt+w.after, func() { w.cross(x) })
 	time.Sleep(crossingAt)
 	if answer.Verdict != Streaming {
--- a/internal/core/executor.go
+++ b/internal/core/executor.go
@@ -77,11 +77,8 @@
 // Release implements decide.Executor.
 func (x *executor) Release(id decide.RequestID) { x.enqueue(id, command{kind: release}) }
 
-// Where this process was held up, a timer of the module waits for what has come meanwhile to be read.
-const (
-	timerTolerance = 10 * time.Millisecond // by which a timer may be late before this process counts as held up
-	lateTimerWait  = 10 * time.Millisecond
-)
+// lateTimerWait is how long a late timer of the module waits for what has come meanwhile to be read.
+const lateTimerWait = 10 * time.Millisecond
 
 // SetTimer implements decide.Executor.
 func (x *executor) SetTimer(token uint64, at time.Duration) {
@@ -91,7 +88,7 @@
 
 // timerDue passes a timer that was due at the given time to the module, somewhat later if it is late.
 func (c *Core) timerDue(token uint64, at time.Duration) {
-	if c.clock()-at > timerTolerance {
+	if c.clock()-at > patience.Tolerance {
 		time.Sleep(lateTimerWait)
 	}
 	c.dispatch(func(now time.Duration, r *decide.Router) { r.Timer(now, token) })
--- a/internal/grpcfront/tokenstream.go
+++ b/internal/grpcfront/tokenstream.go
@@ -10,15 +10,14 @@
 
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/patience"
 )
 
 // errNoChunk ends a stream whose server has sent nothing for httpfront.StreamStallTimeout.
 var errNoChunk = errors.New("no chunk on the stream within the stall limit")
 
-const (
-	lateTolerance = 10 * time.Millisecond // by which the stall timer may be late before this process counts as held up
-	lateRecheck   = 20 * time.Millisecond // in which a process that was held up reads what has come
-)
+// lateRecheck is in what time a process that was held up reads what has come.
+const lateRecheck = 20 * time.Millisecond
 
 // receiveState is the state of a stream's Recv. Whichever ends the wait first, a message or the stall timer, moves it.
 type receiveState int
@@ -94,7 +93,7 @@
 	if s.state != receiveWaiting || late < 0 { // the timer was for an earlier wait
 		return
 	}
-	if late > lateTolerance {
+	if late > patience.Tolerance {
 		s.due = time.Now().Add(lateRecheck)
 		s.stallTimer.Reset(lateRecheck)
 		return
--- a/internal/grpcfront/tokenstream_test.go
+++ b/internal/grpcfront/tokenstream_test.go
@@ -11,6 +11,7 @@
 
 	"rowanyard/internal/grpcfront/pb"
 	"rowanyard/internal/httpfront"
+	"rowanyard/internal/patience"
 )
 
 // delayedCall is a call whose messages come at given intervals, until its context ends.
@@ -66,7 +67,7 @@
 			_, _ = s.Recv() // the first chunk
 			time.AfterFunc(0, func() {
 				s.mu.Lock()
-				s.due = time.Now().Add(-lateTolerance - 1) // as if the timer came late
+				s.due = time.Now().Add(-patience.Tolerance - 1) // as if the timer came late
 				s.mu.Unlock()
 				s.endIfStalled()
 			})
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rowanyard/internal/inbound"
+	"rowanyard/internal/patience"
 )
 
 const (
@@ -403,7 +404,7 @@
 		c.lastReadAt = time.Now()
 		if len(c.buf) == 0 {
 			c.firstByteAt = c.lastReadAt
-			if c.inputAge > heldUpTolerance { // it waited for this process
+			if c.inputAge > patience.Tolerance { // it waited for this process
 				c.firstByteAt = c.lastReadAt.Add(-c.inputAge)
 			}
 			if !seenAt.IsZero() && seenAt.Before(c.firstByteAt) { // ... and more has come meanwhile
--- a/internal/httpfront/eventclock.go
+++ b/internal/httpfront/eventclock.go
@@ -3,17 +3,16 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"rowanyard/internal/patience"
 )
 
 const (
-	clientEventWait = 5 * time.Second        // a client that waits for a further event for this long has lost its request
-	maxHeldUp       = 150 * time.Millisecond // for which this process may be held up
-	eventTransit    = 30 * time.Millisecond  // from the worker to the client
+	clientEventWait = 5 * time.Second       // a client that waits for a further event for this long has lost its request
+	eventTransit    = 30 * time.Millisecond // from the worker to the client
 
 	// StreamStallTimeout is how long a stream may go on without a further event.
-	StreamStallTimeout = clientEventWait - maxHeldUp - eventTransit
-	// heldUpTolerance is by how much a timer may be late before this process counts as late.
-	heldUpTolerance = 10 * time.Millisecond
+	StreamStallTimeout = clientEventWait - patience.MaxHeldUp - eventTransit
 	// stallRecheck is how long a stream that is overdue is given where this process was late itself, to read what has come.
 	stallRecheck = 20 * time.Millisecond
 	// minClientWait is how long a write to a client must take to count as a wait for that client.
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rowanyard/internal/patience"
 )
 
 // clientPatience is how long after a running worker's last event a client that still waits has lost its request.
@@ -291,7 +293,7 @@
 		}
 		for len(c.input) > 0 && !hasUnreadInput(here) {
 		}
-		s.nextEvent.due.Store(int64(time.Since(epoch) - maxHeldUp)) // as if this process had stood still until now
+		s.nextEvent.due.Store(int64(time.Since(epoch) - patience.MaxHeldUp)) // as if this process had stood still until now
 		s.silence.begin(StreamStallTimeout)
 		s.silence.timer.Stop()
 		s.silence.wakeIfOverdue() // once
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -10,8 +10,14 @@
 )
 
 const (
-	steps        = 4                     // in which a timeout is counted
-	tolerance    = 10 * time.Millisecond // by which a step may be late before this process counts as held up; half a step if that is longer ...
+	// MaxHeldUp is for how long this process may be held up at once.
+	MaxHeldUp = 150 * time.Millisecond
+	// Tolerance is by how much a timer may be late before this process counts as held up.
+	Tolerance = 10 * time.Millisecond
+)
+
+const (
+	steps        = 4                     // in which a timeout is counted; one may be late by Tolerance, or by half a step if that is longer ...
 	maxTolerance = 30 * time.Millisecond // ... but not more than this
 	extraStep    = 50 * time.Millisecond // the longest step behind the last one, in which what has come is read
 )
@@ -84,5 +90,5 @@
 // was held up, this process has not read what has come.
 func (w *wait) isOver(now time.Time) bool {
 	w.left--
-	return w.left <= 0 && now.Sub(w.due) <= min(max(tolerance, w.step/2), maxTolerance)
+	return w.left <= 0 && now.Sub(w.due) <= min(max(Tolerance, w.step/2), maxTolerance)
 }
