--- a/internal/httpfront/workers.go
+++ b/internal/httpfront/workers.go
@@ -76,9 +76,7 @@
 				w.openConns.Add(-1)
 				return nil, err
 			}
-			conn := &workerConn{Conn: c, outbound: delivery.Outbound{Conn: c}, openConns: &w.openConns, done: make(chan struct{}), addr: addr, registry: &w.conns}
-			w.conns.add(conn)
-			return conn, nil
+			return w.newConn(c, addr), nil
 		},
 		DisableCompression: true, MaxIdleConnsPerHost: max(2, min(maxIdlePerWorker, maxConns/4)), MaxIdleConns: max(4, maxConns*2/3),
 		IdleConnTimeout: time.Duration(idleTimeoutShare * float64(connIdle)),
@@ -89,6 +87,13 @@
 	return w
 }
 
+// newConn returns a connection to the worker at addr, which was counted as open.
+func (w *Workers) newConn(c net.Conn, addr string) *workerConn {
+	conn := &workerConn{Conn: c, outbound: delivery.Outbound{Conn: c}, openConns: &w.openConns, done: make(chan struct{}), addr: addr, registry: &w.conns}
+	w.conns.add(conn)
+	return conn
+}
+
 // Limit changes the maximum number of connections. Idle ones are closed if more are open.
 func (w *Workers) Limit(maxConns int) {
 	w.connLimit.Store(int64(maxConns))
