The deadlines of a client's connection have one owner; each ends with its message

Cause: a deadline that was set for one message stood for another. The interim answer 100 set a write deadline of 3 s, once for each request, on which the final answer was written 14 s later. IdleTimeout of net/http ended a rest of which bytes had been read, as clientConn holds a head back until it is complete.

Change: clientDeadlines owns them. Each read of the socket is for a named message (first byte, head, body, nothing due) and sets its deadline; each write has its own. What net/http sets has no effect, but for interrupts. A head has 2 s from its first byte and is told 408, a body 2.5 s from its head, not counted from connecting any more. The last chunk of a slow client's stream has the stream's time, and a closed connection's deadlines are the closer's alone. The operator's server lost its ReadTimeout and WriteTimeout, which stood over its handler's work. An interrupt is not taken for a deadline to extend. A failed write is in the log line "client connection ended".

Tests build their connections with newConn, as a connection needs its owner of deadlines.

--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -48,10 +48,9 @@
 		case len(body) > maxBodyBytes:
 			return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body: over %d bytes", maxBodyBytes)
 		case err == io.EOF:
-			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 			return body, 0, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			// The read deadline is not reset: net/http would wait for the rest of the body before it answers.
+			// The read deadline stays over: net/http would wait for the rest of the body before it answers.
 			w.Header().Set("Connection", "close")
 			return nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 		case err != nil:
--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,15 +17,12 @@
 )
 
 const (
-	firstBodyTimeout = 2600 * time.Millisecond // from connecting until the first request's body is complete
-	laterBodyTimeout = 2500 * time.Millisecond // from a later request's head until its body is complete
 	readBufferStep   = 2 << 10
 	maxReadAhead     = maxHeadBytes // of pipelined data; if there is more, the connection ends after the requests that fit
 	maxHeadFields    = 100
 	discardBuffer    = 16 << 10
-	headMemoryFactor = 3               // of a head's bytes, for these and what they are parsed to
-	ConnMemory       = 24 << 10        // bytes that a connection holds by itself: buffers and stacks, also of net/http
-	answerWriteTime  = 3 * time.Second // for a client to accept data, where nothing else was set
+	headMemoryFactor = 3        // of a head's bytes, for these and what they are parsed to
+	ConnMemory       = 24 << 10 // bytes that a connection holds by itself: buffers and stacks, also of net/http
 )
 
 // epoch is the time that the atomic times of connections are relative to.
@@ -36,7 +34,7 @@
 type clientConn struct {
 	net.Conn
 	owner         *clientListener
-	connectedAt   time.Time
+	deadlines     *clientDeadlines
 	state         atomic.Int32
 	stateSince    atomic.Int64 // since epoch
 	bodyPending   atomic.Bool  // the request's body is incomplete; reset by Read at its end or by an eviction, whichever is first
@@ -53,7 +51,6 @@
 	pipelined      atomic.Int32    // pipelined requests read after the current one
 	answerComplete atomic.Bool     // refusals may follow the current request's answer
 	account        *inbound.Client // of the work on what it sends
-	writeDeadline  atomic.Bool     // one was set for the current answer
 	bodyMemory     atomic.Pointer[inbound.Holding]
 	inputEnded     atomic.Bool                // the client has closed, or the connection is broken
 	owed           atomic.Pointer[owedAnswer] // nil: no answer is owed
@@ -66,6 +63,9 @@
 	counter     pipelineCounter // of the requests in buf behind the current one
 	firstByteAt time.Time       // when the first byte of buf was read
 	lastReadAt  time.Time       // when bytes were last read from the socket
+	headBegunAt time.Time       // when this process read the first byte of buf
+	restsSince  time.Time       // when the connection was opened, or the last answer ended
+	bodyDueAt   time.Time       // when the current request's body must be complete
 	inputAge    time.Duration   // how long the bytes at the start of buf had waited to be read, at least
 	deliverable int             // length of the part of buf that may be returned
 	bodyLeft    int64           // bytes of the request's body that are not ready to be returned yet
@@ -84,14 +84,6 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// bodyDeadline returns the time by which the current request's body must be complete.
-func bodyDeadline(ctx context.Context) time.Time {
-	if c, ok := ctx.Value(connKey{}).(*clientConn); ok && c.headsRead.Load() <= 1 {
-		return c.connectedAt.Add(firstBodyTimeout)
-	}
-	return time.Now().Add(laterBodyTimeout)
-}
-
 // timeSinceArrival returns the time since the first byte of the current request was read. The time limit that
 // a client sets counts from there, however slowly the rest arrives and however long the request waits.
 func timeSinceArrival(ctx context.Context) time.Duration {
@@ -137,6 +129,7 @@
 		case http.StateIdle: // Read is not running
 			c.account.End()
 			c.answerPending.Store(false)
+			c.restsSince = time.Now()
 			c.socket.setAnswered(len(c.buf) > 0)
 			if c.setState(connIdle) && c.owner.closing.Load() {
 				c.closeIfIdle()
@@ -153,14 +146,18 @@
 func (c *clientConn) input() *inbound.Reader {
 	if c.reader == nil {
 		c.reader = inbound.NewReader(c.Conn, c.account)
-		c.reader.ReadOnce = c.readOnce
+		c.reader.ReadOnce, c.reader.Extend = c.readOnce, c.deadlines.extendInput
 	}
 	return c.reader
 }
 
-// nextInput is readSocket, and returns when input was seen that had to wait for its turn.
+// nextInput is readSocket, and returns when input was seen that had to wait for its turn. The deadline is that of what is read.
 func (c *clientConn) nextInput(p []byte, endsTurn bool) (n int, seenAt time.Time, err error) {
+	c.deadlines.awaitInput(c.awaited())
 	n, seenAt, err = c.input().Next(p, endsTurn)
+	for errors.Is(err, os.ErrDeadlineExceeded) && hasUnreadInput(c.Conn) && c.deadlines.allowLateInput() {
+		n, seenAt, err = c.input().Next(p, endsTurn)
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.inputEnded.Store(true)
 	}
@@ -188,36 +185,14 @@
 	return c.memory.Resize(headMemoryFactor * int64(max(0, size-readBufferStep)))
 }
 
-// headTooLarge answers a request whose head has too many fields.
-const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
-// rejectHead ends the connection with an error for a head that has too many fields. It is not passed to net/http.
-func (c *clientConn) rejectHead() {
+// rejectHead ends the connection with an error for a head that has too many fields or does not come to its end. It is not passed to
+// net/http.
+func (c *clientConn) rejectHead(status int) {
 	c.beginRequest()
 	c.readsEnded = true
-	c.writeLast(headTooLarge)
-}
-
-// Write implements net.Conn. A client that accepts no data does not keep the connection for longer than a stream's client
-// would.
-func (c *clientConn) Write(p []byte) (int, error) {
-	if c.writeDeadline.CompareAndSwap(false, true) {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(answerWriteTime))
-	}
-	return c.Conn.Write(p)
-}
-
-// SetReadDeadline implements net.Conn. A deadline in the past interrupts a read, also one that waits for its turn.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	c.account.Interrupt(!t.IsZero() && !t.After(time.Now()))
-	return err
-}
-
-// SetWriteDeadline implements net.Conn.
-func (c *clientConn) SetWriteDeadline(t time.Time) error {
-	c.writeDeadline.Store(!t.IsZero())
-	return c.Conn.SetWriteDeadline(t)
+	c.owner.log.Debug("bad head", "status", status)
+	c.writeLast(fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		status, http.StatusText(status)))
 }
 
 // CloseWrite lets net/http shut down the sending side before it closes, so that the client receives an answer rather than
@@ -305,7 +280,7 @@
 		}
 		end := c.head.end(c.buf)
 		if c.head.lines > 1+maxHeadFields {
-			c.rejectHead()
+			c.rejectHead(http.StatusRequestHeaderFieldsTooLarge)
 			continue
 		}
 		if end > 0 {
@@ -330,6 +305,8 @@
 		if err := c.fillBuffer(); errors.Is(err, errNoMemory) {
 			c.overflowed = true // the rest of the head is not read
 			return 0, c.refuseRest()
+		} else if errors.Is(err, os.ErrDeadlineExceeded) && len(c.buf) > 0 {
+			c.rejectHead(http.StatusRequestTimeout)
 		} else if err != nil {
 			return 0, err
 		}
@@ -367,6 +344,7 @@
 	if f.chunked {
 		c.chunks = &chunkScanner{}
 	}
+	c.bodyDueAt = time.Now().Add(bodyTimeout)
 	c.bodyPending.Store(c.bodyLeft > 0 || f.chunked)
 	if !c.bodyPending.Load() {
 		c.recordCompletion()
@@ -384,7 +362,7 @@
 // beginRequest records that net/http is given the next request. What was counted as pipelined is now current.
 func (c *clientConn) beginRequest() {
 	c.head = headScanner{}
-	c.writeDeadline.Store(false)
+	c.deadlines.allowWrites(answerWriteTime)
 	c.answerComplete.Store(false)
 	c.completedAt.Store(0)
 	c.pipelined.Store(0)
@@ -403,7 +381,7 @@
 	if n > 0 { // and not where net/http interrupts the read
 		c.lastReadAt = time.Now()
 		if len(c.buf) == 0 {
-			c.firstByteAt = c.lastReadAt
+			c.headBegunAt, c.firstByteAt = c.lastReadAt, c.lastReadAt
 			if c.inputAge > patience.Tolerance { // it waited for this process
 				c.firstByteAt = c.lastReadAt.Add(-c.inputAge)
 			}
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -19,10 +19,8 @@
 )
 
 const (
-	firstHeadTimeout = 2 * time.Second         // from connecting until the first head is complete
-	idleTimeout      = 2500 * time.Millisecond // between two requests
-	minIdleTime      = 50 * time.Millisecond   // before a connection without a request may be evicted
-	minBodyTime      = 300 * time.Millisecond  // from a head until a connection whose body is still incomplete may be evicted
+	minIdleTime = 50 * time.Millisecond  // before a connection without a request may be evicted
+	minBodyTime = 300 * time.Millisecond // from a head until a connection whose body is still incomplete may be evicted
 )
 
 // clientListener is a listener that holds at most maxConns connections. When the limit is reached, a new connection
@@ -202,7 +200,8 @@
 }
 
 // LimitListener returns a listener for server that holds at most maxConns connections from l at once and, at that limit, replaces
-// inactive connections by new ones. It sets ConnContext, ConnState and MaxHeaderBytes of server.
+// inactive connections by new ones. It sets ConnContext, ConnState and MaxHeaderBytes of server, whose own timeouts for clients have
+// no effect: clientDeadlines limits what is read and written.
 // What is sent on them is counted on budgets, which may be nil.
 func LimitListener(server *http.Server, l net.Listener, maxConns int, budgets *inbound.Budgets, log *slog.Logger) net.Listener {
 	server.ConnContext, server.ConnState, server.MaxHeaderBytes = contextWithConn, trackConnState, maxHeadBytes
@@ -239,7 +238,7 @@
 
 // newConn returns a connection that was accepted, which is not registered yet.
 func (l *clientListener) newConn(c net.Conn) *clientConn {
-	return &clientConn{Conn: c, owner: l, connectedAt: time.Now(), account: l.budgets.NewClient(), memory: l.budgets.NewHolding()}
+	return &clientConn{Conn: c, owner: l, deadlines: newClientDeadlines(c), restsSince: time.Now(), account: l.budgets.NewClient(), memory: l.budgets.NewHolding()}
 }
 
 func (l *clientListener) rejectsAll() bool {
--- a/internal/httpfront/connclose.go
+++ b/internal/httpfront/connclose.go
@@ -126,6 +126,7 @@
 // must not overtake, and owed is what the client is still to be told.
 func (c *clientConn) release(answered bool, owed string) error {
 	defer c.owner.open.End()
+	c.deadlines.end()
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
 	c.owner.mu.Unlock()
--- a/internal/httpfront/connlog.go
+++ b/internal/httpfront/connlog.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -25,12 +26,13 @@
 
 // owedAnswer is the answer that a client is owed on its connection.
 type owedAnswer struct {
-	id       string // of the request
-	since    time.Time
-	exchange atomic.Pointer[Exchange] // nil: nothing was sent to a worker
-	bytes    atomic.Int64             // of the answer's stream that were passed on
-	broken   atomic.Pointer[error]    // why the answer's stream broke off
-	left     atomic.Bool              // the client has left before that
+	id        string // of the request
+	since     time.Time
+	exchange  atomic.Pointer[Exchange] // nil: nothing was sent to a worker
+	bytes     atomic.Int64             // of the answer's stream that were passed on
+	broken    atomic.Pointer[error]    // why the answer's stream broke off
+	left      atomic.Bool              // the client has left before that
+	unwritten atomic.Pointer[error]    // why a part of the answer was not written
 }
 
 // beginOwing records that an answer is owed from now on.
@@ -43,6 +45,13 @@
 // endOwing records that the answer has been given, or that another process gives it.
 func (c *clientConn) endOwing() { c.owed.Store(nil) }
 
+// recordUnwritten records that a part of the answer that is owed was not written.
+func (c *clientConn) recordUnwritten(err error) {
+	if owed := c.owed.Load(); owed != nil {
+		owed.unwritten.Store(&err)
+	}
+}
+
 // logEnd logs that the connection ends if an answer is owed. by and why are used unless it is known better.
 func (c *clientConn) logEnd(by, why string) {
 	owed := c.owed.Swap(nil)
@@ -57,7 +66,9 @@
 	if !log.Enabled(context.Background(), level) {
 		return
 	}
-	switch broken := owed.broken.Load(); {
+	switch broken, unwritten := owed.broken.Load(), owed.unwritten.Load(); {
+	case unwritten != nil:
+		by, why = endedByRouter, fmt.Sprintf("its client did not take the answer in time: %v", *unwritten)
 	case broken != nil:
 		by, why = endedByRouter, (*broken).Error()
 	case owed.left.Load(), c.inputEnded.Load():
--- a/internal/httpfront/deadline_test.go
+++ b/internal/httpfront/deadline_test.go
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const step = 100 * time.Millisecond
 		here, there := net.Pipe()
-		c := &clientConn{Conn: there, owner: &clientListener{conns: make(map[*clientConn]bool)}}
+		c := newClientListener(nil, 1, 0, nil, discardLogger).newConn(there)
 		ctx := contextWithConn(t.Context(), c)
 		text := requestText("one", contentLength(requestBody), requestBody)
 		go func() {
@@ -137,7 +137,7 @@
 			t.Fatal(err)
 		}
 	}
-	c := &clientConn{Conn: there, owner: newClientListener(nil, 1, 0, nil, discardLogger)}
+	c := newClientListener(nil, 1, 0, nil, discardLogger).newConn(there)
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -108,8 +108,7 @@
 	if pages != nil {
 		handler = pages(f)
 	}
-	f.server = &http.Server{Handler: withConnectionHeader(handler), ReadHeaderTimeout: firstHeadTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeadBytes, ErrorLog: serverLog, ConnContext: contextWithConn, ConnState: trackConnState}
+	f.server = &http.Server{Handler: withConnectionHeader(handler), MaxHeaderBytes: maxHeadBytes, ErrorLog: serverLog, ConnContext: contextWithConn, ConnState: trackConnState}
 	return f
 }
 
@@ -151,8 +150,6 @@
 		}
 		return
 	}
-	// Without a deadline a body that stops halfway would block the answer: net/http reads the rest of it first.
-	_ = http.NewResponseController(w).SetReadDeadline(bodyDeadline(r.Context()))
 	if r.Method != http.MethodPost || r.URL.Path != PathChat {
 		http.Error(w, "no such page", http.StatusNotFound)
 		return
--- a/internal/httpfront/guard_test.go
+++ b/internal/httpfront/guard_test.go
@@ -614,7 +614,7 @@
 			w := &workerConn{Conn: bytesConn{in: strings.NewReader(text), maxRead: maxRead}, openConns: new(atomic.Int64), done: make(chan struct{})}
 			w.awaitingAnswer.Store(true)
 			io.Copy(io.Discard, w)
-			c := &clientConn{Conn: bytesConn{in: strings.NewReader(text), maxRead: maxRead}, owner: newClientListener(nil, 1, 0, nil, discardLogger)}
+			c := newClientListener(nil, 1, 0, nil, discardLogger).newConn(bytesConn{in: strings.NewReader(text), maxRead: maxRead})
 			got, _ := io.ReadAll(c)
 			seen[i] = string(got)
 		}
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -210,7 +210,7 @@
 	} {
 		var written strings.Builder
 		listener := newClientListener(nil, 1, 250*time.Millisecond, nil, discardLogger)
-		c := &clientConn{Conn: recordingConn{bytesConn{in: strings.NewReader(one + x.behind), maxRead: 1 << 20}, &written}, owner: listener}
+		c := listener.newConn(recordingConn{bytesConn{in: strings.NewReader(one + x.behind), maxRead: 1 << 20}, &written})
 		listener.conns[c] = true
 		if _, err := io.ReadFull(c, make([]byte, len(one))); err != nil {
 			t.Fatal(err)
@@ -253,7 +253,7 @@
 	long := requestText("two", "X-Long: "+strings.Repeat("x", 2*maxHeadBytes)+"\r\n"+contentLength(requestBody), requestBody)
 	var written strings.Builder
 	listener := newClientListener(nil, 1, 250*time.Millisecond, nil, discardLogger)
-	c := &clientConn{Conn: recordingConn{bytesConn{in: strings.NewReader(one + long), maxRead: 1 << 20}, &written}, owner: listener}
+	c := listener.newConn(recordingConn{bytesConn{in: strings.NewReader(one + long), maxRead: 1 << 20}, &written})
 	listener.conns[c] = true
 	if _, err := io.ReadFull(c, make([]byte, len(one))); err != nil {
 		t.Fatal(err)
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -64,8 +64,7 @@
 		r.stopCutting = context.AfterFunc(r.front.cutCtx, r.handOverOrCut)
 	}
 	r.recordProgress(n, err)
-	// A client that stops reading would otherwise hold its stream, and a slot at the writer, for good.
-	_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
+	r.limitWrite()
 	switch {
 	case err == io.EOF:
 		r.onEnd(decide.Served, nil)
@@ -77,6 +76,16 @@
 	return n, err
 }
 
+// limitWrite limits the write that follows. A client that stops reading would otherwise hold its stream, and a slot at the writer,
+// for good.
+func (r *relay) limitWrite() {
+	if r.conn == nil {
+		_ = r.client.SetWriteDeadline(time.Now().Add(r.front.writeTimeout))
+		return
+	}
+	r.conn.deadlines.allowWrites(r.front.writeTimeout)
+}
+
 // recordProgress records what the client's connection has come to.
 func (r *relay) recordProgress(n int, err error) {
 	if r.conn == nil {
@@ -148,7 +157,6 @@
 	if r.stopCutting != nil {
 		r.stopCutting()
 	}
-	_ = r.client.SetWriteDeadline(time.Time{}) // the connection may be reused
 	if r.conn != nil && !r.ended {
 		if owed := r.conn.owed.Load(); owed != nil {
 			owed.left.Store(true)
--- a/internal/httpfront/requestforms_test.go
+++ b/internal/httpfront/requestforms_test.go
@@ -177,7 +177,7 @@
 	body := q.body
 	if q.slowBody {
 		io.WriteString(c, body[:len(body)/2])
-		time.Sleep(laterBodyTimeout - piecePause)
+		time.Sleep(bodyTimeout - piecePause)
 		body = body[len(body)/2:]
 	}
 	q.sendPart(c, body+q.suffix, bodyPieceBytes)
--- a/internal/inbound/reader.go
+++ b/internal/inbound/reader.go
@@ -24,6 +24,8 @@
 type Reader struct {
 	// ReadOnce reads from a socket without blocking. It fails with ErrNothingYet if there is nothing to read.
 	ReadOnce func(fd int, p []byte) (int, error)
+	// Extend gives what is read the given time from now. Unless it is set the connection's read deadline is.
+	Extend func(by time.Duration)
 
 	conn   net.Conn
 	raw    syscall.RawConn // nil: not a socket
@@ -36,6 +38,7 @@
 // NewReader returns a Reader of a connection whose turns are those of client, which may be nil.
 func NewReader(c net.Conn, client *Client) *Reader {
 	r := &Reader{conn: c, client: client, ReadOnce: ReadOnce}
+	r.Extend = func(by time.Duration) { _ = c.SetReadDeadline(time.Now().Add(by)) }
 	if s, ok := c.(syscall.Conn); ok {
 		r.raw, _ = s.SyscallConn()
 	}
@@ -81,8 +84,8 @@
 			r.client.End()
 		}
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && ends && r.waited > 0:
-			_ = r.conn.SetReadDeadline(time.Now().Add(r.waited))
+		case errors.Is(err, os.ErrDeadlineExceeded) && ends && r.waited > 0 && !r.client.Interrupted():
+			r.Extend(r.waited)
 			r.waited = 0
 			continue
 		case err == nil && n == 0 && len(p) > 0:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	callTimeout  = 2 * time.Second        // for reading a call and for writing its answer
 	pollInterval = 100 * time.Millisecond // between reads of the shared file
 	saveInterval = time.Second            // between saves of the learned state
 	// For older processes to share the ids of their open requests, which they do at their next poll.
@@ -300,8 +299,7 @@
 // Serve answers calls on l, one per connection, until l is closed. At most maxConns connections are open at once; silent ones
 // are closed to make room for new ones.
 func (c *Controller) Serve(l net.Listener, maxConns int) error {
-	server := &http.Server{Handler: c, ReadTimeout: callTimeout, WriteTimeout: callTimeout,
-		ErrorLog: slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: c, ErrorLog: slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug)}
 	server.SetKeepAlivesEnabled(false)
 	if err := server.Serve(httpfront.LimitListener(server, l, maxConns, c.Input, c.Log)); !errors.Is(err, net.ErrClosed) {
 		return err
