One empty line before a head is ignored

What callers saw: 400 for a request behind an empty line, which RFC 9112, 2.2, has servers ignore. Change: one CRLF before a head is dropped, also behind another request's body; a connection that has sent nothing else rests on, and counts as unread. Two of them, a bare LF or a line of space are rejected as before.

--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -56,25 +56,26 @@
 	owed           atomic.Pointer[owedAnswer] // nil: no answer is owed
 
 	// Used by Read, which net/http does not call concurrently, and by trackConnState while Read is not running.
-	reader      *inbound.Reader
-	memory      *inbound.Holding
-	buf         []byte          // read from the socket and not yet returned
-	head        headScanner     // of the next head, at the start of buf
-	counter     pipelineCounter // of the requests in buf behind the current one
-	firstByteAt time.Time       // when the first byte of buf was read
-	lastReadAt  time.Time       // when bytes were last read from the socket
-	headBegunAt time.Time       // when this process read the first byte of buf
-	restsSince  time.Time       // when the connection was opened, or the last answer ended
-	bodyDueAt   time.Time       // when the current request's body must be complete
-	inputAge    time.Duration   // how long the bytes at the start of buf had waited to be read, at least
-	deliverable int             // length of the part of buf that may be returned
-	bodyLeft    int64           // bytes of the request's body that are not ready to be returned yet
-	chunks      *chunkScanner   // scans a chunked body, nil if there is none
-	passthrough bool            // everything is returned unscanned; the connection ends with this request
-	readsEnded  bool            // Read returns io.EOF
-	overflowed  bool            // pipelined data exceeded maxReadAhead and what followed was discarded
-	fillerLeft  int             // filler bytes to return in place of the discarded rest of an oversized head
-	headsRead   atomic.Int32    // complete heads so far; also read by handlers
+	reader           *inbound.Reader
+	memory           *inbound.Holding
+	buf              []byte          // read from the socket and not yet returned
+	head             headScanner     // of the next head, at the start of buf
+	counter          pipelineCounter // of the requests in buf behind the current one
+	emptyLineSkipped bool            // before the next head
+	firstByteAt      time.Time       // when the first byte of buf was read
+	lastReadAt       time.Time       // when bytes were last read from the socket
+	headBegunAt      time.Time       // when this process read the first byte of buf
+	restsSince       time.Time       // when the connection was opened, or the last answer ended
+	bodyDueAt        time.Time       // when the current request's body must be complete
+	inputAge         time.Duration   // how long the bytes at the start of buf had waited to be read, at least
+	deliverable      int             // length of the part of buf that may be returned
+	bodyLeft         int64           // bytes of the request's body that are not ready to be returned yet
+	chunks           *chunkScanner   // scans a chunked body, nil if there is none
+	passthrough      bool            // everything is returned unscanned; the connection ends with this request
+	readsEnded       bool            // Read returns io.EOF
+	overflowed       bool            // pipelined data exceeded maxReadAhead and what followed was discarded
+	fillerLeft       int             // filler bytes to return in place of the discarded rest of an oversized head
+	headsRead        atomic.Int32    // complete heads so far; also read by handlers
 }
 
 type connKey struct{}
@@ -275,6 +276,7 @@
 			}
 			continue
 		}
+		c.skipEmptyLine()
 		if len(c.buf) > 0 {
 			c.input().BeginTurn()
 		}
@@ -313,6 +315,22 @@
 	}
 }
 
+// skipEmptyLine drops an empty line that a client sends before a head. A connection that has sent nothing else rests.
+func (c *clientConn) skipEmptyLine() {
+	if c.emptyLineSkipped || !bytes.HasPrefix(c.buf, emptyLine) {
+		return
+	}
+	c.emptyLineSkipped = true
+	c.buf = c.buf[len(emptyLine):]
+	c.counter.consumeEmptyLine()
+	c.head = headScanner{}
+	if len(c.buf) == 0 {
+		c.buf = nil
+		c.holdBuffer(0)
+		c.socket.setAnswered(false)
+	}
+}
+
 // fillerHead replaces the discarded rest of an oversized head.
 var fillerHead = bytes.Repeat([]byte("x"), readBufferStep)
 
@@ -361,7 +379,7 @@
 
 // beginRequest records that net/http is given the next request. What was counted as pipelined is now current.
 func (c *clientConn) beginRequest() {
-	c.head = headScanner{}
+	c.head, c.emptyLineSkipped = headScanner{}, false
 	c.deadlines.allowWrites(answerWriteTime)
 	c.answerComplete.Store(false)
 	c.completedAt.Store(0)
--- a/internal/httpfront/scan.go
+++ b/internal/httpfront/scan.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// emptyLine may come once before a head, which RFC 9112, section 2.2, has servers ignore.
+var emptyLine = []byte("\r\n")
+
 // pipelineCounter counts the requests in the bytes behind the current request, as they come. Its offsets are those of the
 // connection's buffer.
 type pipelineCounter struct {
@@ -38,6 +41,7 @@
 	head     headScanner // of that one
 	end      int         // where that one ends, once its head is complete; 0: not yet
 	unknown  bool        // where that one ends can't be told: it is counted for all that follows
+	skipped  bool        // an empty line before that one
 }
 
 // startAt begins to count behind a request that ends at an offset, which may lie beyond the bytes that have come.
@@ -51,6 +55,15 @@
 	}
 }
 
+// consumeEmptyLine records that an empty line was removed from the start of the buffer, which no request counts yet.
+func (p *pipelineCounter) consumeEmptyLine() {
+	if p.next >= len(emptyLine) {
+		p.consume(len(emptyLine))
+		return
+	}
+	p.head, p.skipped = headScanner{}, true
+}
+
 // begin records that the request at the start of the buffer has become the current one. It ends at an offset.
 func (p *pipelineCounter) begin(end int) {
 	if p.complete == 0 {
@@ -63,6 +76,10 @@
 // count returns the number of requests in buf behind the current one. The last one counts once its first line is complete.
 func (p *pipelineCounter) count(buf []byte) int {
 	for !p.unknown && p.next <= len(buf) {
+		if p.end == 0 && !p.skipped && bytes.HasPrefix(buf[p.next:], emptyLine) {
+			p.next += len(emptyLine)
+			p.head, p.skipped = headScanner{}, true
+		}
 		if p.end == 0 && !p.scanHead(buf[p.next:]) {
 			break
 		}
@@ -70,7 +87,7 @@
 			break
 		}
 		p.complete++
-		p.next, p.end, p.head = p.end, 0, headScanner{}
+		p.next, p.end, p.head, p.skipped = p.end, 0, headScanner{}, false
 	}
 	if p.unknown || p.end > 0 || p.head.lines > 0 {
 		return p.complete + 1
