A kept stream is not ended by the deadline of the handover that was tried

What callers saw: a stream that was to be handed over and goes on in its process breaks off as if its worker were silent. Cause: the deadline that interrupts the read for a handover may be set behind the attempt, as its goroutine runs late; it stood for the worker's next event. Change: an interrupt with time left for the next event is none. TestLateDeadlineOfHandoverDoesNotEndTheStream (the read is interrupted once behind a failed handover): the client got nothing before, the whole stream now.

--- a/internal/httpfront/receivedstream.go
+++ b/internal/httpfront/receivedstream.go
@@ -234,6 +234,7 @@
 			s.endAnswer()
 			return
 		case err != nil && s.handOverDue(): // it was interrupted for this
+		case errors.Is(err, os.ErrDeadlineExceeded) && s.nextEvent.left() > 0: // ... or for a handover that has been tried
 		case errors.Is(err, os.ErrDeadlineExceeded) && !rechecked && hasUnreadInput(s.worker): // this process was late
 			rechecked = true
 			s.nextEvent.extendTo(stallRecheck)
