The deadline of a stream ends with its answer on the worker's connection

What callers saw: an attempt that fails by a timeout of its own connection as it begins, for a class that must not run twice a 502. Cause: a handover that is requested, or a silence that is judged, as or right behind the last byte of an answer left its deadline on the connection, which then carried the next attempt. Change: silenceWatch owns the read deadline from an answer's head to its end; none is set behind the end, and none stands. A stream that has come in full needs no handover and is not cut. Also: tests that a slow client gets the last chunk, and that a closed connection's deadlines are its closer's (both part of the owner of client deadlines).

--- a/internal/httpfront/deadlineowners_test.go
+++ b/internal/httpfront/deadlineowners_test.go
@@ -3,15 +3,80 @@
 // Deadlines that cross the end of the message that they were set for.
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"rowanyard/internal/inbound"
 )
 
+// hookedReads is a socket that calls a function once, behind a read that has brought something.
+type hookedReads struct {
+	*net.TCPConn
+	behindRead *func()
+}
+
+func (c hookedReads) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if hook := *c.behindRead; n > 0 && hook != nil {
+		*c.behindRead = nil
+		hook()
+	}
+	return n, err
+}
+
+// A stream's handover or the end of its silence crosses the end of the answer on its connection: the next answer is read.
+func TestDeadlineOfStreamDoesNotEndTheNextAnswer(t *testing.T) {
+	handOver := func(s *stream) { s.requestHandOver() }
+	silence := func(s *stream) {
+		s.silence.begin(-1)
+		s.silence.timer.Stop()
+		s.silence.wakeIfOverdue()
+	}
+	for name, x := range map[string]struct {
+		cross         func(*stream)
+		asTheEndComes bool
+	}{"handover as the end comes": {handOver, true}, "handover behind the end": {handOver, false},
+		"silence as the end comes": {silence, true}, "silence behind the end": {silence, false}} {
+		here, there := tcpPair(t)
+		var behindRead func()
+		conn := &workerConn{Conn: hookedReads{here.(*net.TCPConn), &behindRead}, openConns: new(atomic.Int64), done: make(chan struct{})}
+		conn.awaitingAnswer.Store(true)
+		go io.WriteString(there, chunkedHead+chunk("data: [DONE]\n\n"))
+		in := bufio.NewReader(conn)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := newStream(res, conn, false)
+		if err := s.readFirstEvent(); err != nil {
+			t.Fatal(err)
+		}
+		if x.asTheEndComes {
+			behindRead = func() { x.cross(s) }
+		}
+		go io.WriteString(there, bodyEnd)
+		if _, err := io.ReadAll(s); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if !x.asTheEndComes {
+			x.cross(s)
+		}
+		conn.awaitingAnswer.Store(true)
+		go io.WriteString(there, "HTTP/1.1 204 No Content\r\n\r\n")
+		if _, err := http.ReadResponse(in, nil); err != nil {
+			t.Errorf("%s: the next answer on the connection: %v", name, err)
+		}
+	}
+}
+
 // interruptedOnce is a connection whose first read is interrupted as by a deadline.
 type interruptedOnce struct {
 	net.Conn
@@ -42,3 +107,51 @@
 		}
 	})
 }
+
+// A client that takes its stream slowly gets the last chunk too, however long it has to be waited for.
+func TestLastChunkWaitsAsLongAsTheStream(t *testing.T) {
+	const pause = answerWriteTime + time.Second
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := startVirtualFront(t)
+		c := l.dial()
+		defer c.Close()
+		q := virtualRequest{requestForms()["plain"], "slow-0", 16 * time.Second}
+		go q.send(c, nil)
+		in := bufio.NewReaderSize(c, 16)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(res.Body, make([]byte, len(streamText))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause)
+		if rest, err := io.ReadAll(res.Body); err != nil {
+			t.Errorf("%q, %v", rest, err)
+		}
+		stop()
+	})
+}
+
+// What net/http sets on a connection that is being closed does not delay its close.
+func TestClosedConnectionKeepsTheDeadlinesOfItsClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, side := net.Pipe()
+		defer client.Close()
+		c := newClientListener(nil, 1, 0, inbound.NewBudgets(1, 0), discardLogger).newConn(side)
+		c.deadlines.end()
+		_ = side.SetReadDeadline(time.Now().Add(time.Second)) // for its close
+		_ = side.SetWriteDeadline(time.Now().Add(time.Second))
+		_ = c.SetReadDeadline(time.Time{})
+		_ = c.SetWriteDeadline(time.Time{})
+		if _, err := c.Write([]byte("late")); err == nil {
+			t.Error("a write behind the close")
+		}
+		began := time.Now()
+		_, readErr := side.Read(make([]byte, 1))
+		_, writeErr := side.Write([]byte("last"))
+		if readErr == nil || writeErr == nil || time.Since(began) != time.Second {
+			t.Errorf("%v, %v after %v", readErr, writeErr, time.Since(began))
+		}
+	})
+}
--- a/internal/httpfront/requestforms_test.go
+++ b/internal/httpfront/requestforms_test.go
@@ -90,6 +90,7 @@
 // startVirtualFront serves a front on the virtual clock of the test's bubble. stop must be called in the bubble.
 func startVirtualFront(t *testing.T) (l *pipeListener, stop func()) {
 	f, c := newFrontWithTarget(t, "worker:1", time.Minute)
+	f.writeTimeout = clientWriteTimeout
 	worker := &virtualWorker{workers: f.workers}
 	f.workers.transport.DialContext = worker.dial
 	l = newPipeListener()
--- a/internal/httpfront/stream.go
+++ b/internal/httpfront/stream.go
@@ -139,13 +139,14 @@
 	return min(max(minStallTimeout, stallGapFactor*s.longestGap), StreamStallTimeout)
 }
 
-// requestHandOver makes Read return errHandedOver before the next byte that has not arrived yet. It returns false for a stream
-// that can't be handed over, as its end is not marked by a last chunk.
+// requestHandOver makes Read return errHandedOver before the next byte that has not arrived yet, unless all of the stream has. It
+// returns false for a stream that can't be handed over, as its end is not marked by a last chunk.
 func (s *stream) requestHandOver() bool {
 	if s.conn == nil || !isChunked(s.res) {
 		return false
 	}
-	return s.silence.requestHandOver() == nil
+	err := s.silence.requestHandOver()
+	return err == nil || errors.Is(err, errAnswerEnded)
 }
 
 // Close stops the stream and closes its connection unless the stream was complete.
--- a/internal/httpfront/workerconn.go
+++ b/internal/httpfront/workerconn.go
@@ -296,7 +296,7 @@
 	c.outbound.Detach()
 	// The transport closes the connection as soon as it has an error.
 	if c.handOverFD, err = dup(c.Conn); err != nil {
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.silence.Load().resume()
 		return nil
 	}
 	return errHandedOver
@@ -415,7 +415,7 @@
 	c.state = inHead
 	c.setWatch(nil)
 	if watch := c.silence.Swap(nil); watch != nil {
-		watch.end()
+		watch.endAnswer()
 	}
 	c.outbound.Answered()
 	switch {
