The soak's clients send requests in every form, and wait up to 16 s

Change: nine forms, rests of 2 to 2.7 s, and at each router every fourth client waits 3.5 to 16 s for a first token that its workers write late or never. A connection that ends without a reset 0.1 s and more behind a request's first byte has been read, and no longer passes for unread.

--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -229,6 +229,10 @@
 				Message: fmt.Sprintf("%s answered with status %d after %v, allowed were %v", s.id, s.status, s.ended.Sub(s.at),
 					s.firstTokenTimeout), RequestID: s.id})
 		}
+		if s.lostFurther && rec.exitExcuse(s, true) == "" {
+			found = append(found, Violation{Rule: RuleAnsweredOnce,
+				Message: fmt.Sprintf("the request behind %s at n%d has no response", s.id, s.router), RequestID: s.id})
+		}
 		if s.status != 0 {
 			continue
 		}
@@ -244,9 +248,16 @@
 // excuse returns why a request may have no response, or "" if it must have one.
 func (rec *records) excuse(s *clientRequest) string {
 	seen := len(rec.eventsByID[s.id]) > 0 || len(rec.routers[s.router].lines("txn="+s.id+" ")) > 0
-	if !seen && s.ended.Sub(s.at) < s.firstTokenTimeout {
+	// A close over bytes that were not read resets the connection.
+	wasRead := s.endedCleanly && s.ended.Sub(s.firstByteAt) > clockSlack
+	if !seen && !wasRead && s.ended.Sub(s.at) < s.firstTokenTimeout {
 		return "its connection ended before it was read" // a real client would retry it
 	}
+	return rec.exitExcuse(s, seen)
+}
+
+// exitExcuse returns why the end of its router's process excuses that a request has no response, or "" if it does not.
+func (rec *records) exitExcuse(s *clientRequest, seen bool) string {
 	e, ended := rec.processExit(s.router, s.incarnations[0])
 	if !ended || e.killedAt.IsZero() || s.ended.Before(e.killedAt.Add(-clockSlack)) {
 		return ""
--- a/internal/scale/soak/client.go
+++ b/internal/scale/soak/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"rowanyard/internal/inbound"
 )
 
 // clientRequest is one request as its client saw it.
@@ -19,7 +21,11 @@
 	id                string
 	router            int
 	nonIdempotent     bool
+	form              requestForm
+	firstByteAt       time.Time     // when its first byte was written
 	at                time.Time     // when its last byte was written
+	endedCleanly      bool          // the connection was not reset as it ended without a response
+	lostFurther       bool          // a further request behind it got no response although the connection was to stay open
 	firstTokenTimeout time.Duration // deadline for the first token, in X-Remaining-Ms
 	ended             time.Time     // when the last byte of its response came or its connection ended
 	status            int           // 0: no response came
@@ -53,7 +59,7 @@
 	maxLargePrompt  = 240_000
 	meanThinkTime   = 60 * time.Millisecond
 	disconnectShare = 0.08
-	responseTimeout = 12 * time.Second // a client closes its connection if no response has come by then
+	responseTimeout = 24 * time.Second // a client closes its connection if no response has come by then
 	dialTimeout     = 500 * time.Millisecond
 )
 
@@ -85,6 +91,9 @@
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
 		thinkTime := time.Duration(c.random.Int64N(int64(2 * meanThinkTime)))
+		if c.random.Float64() < restShare {
+			thinkTime = minRest + time.Duration(c.random.Int64N(int64(maxRest-minRest)))
+		}
 		s := c.nextRequest(n)
 		disconnectAfter := time.Duration(0)
 		if c.random.Float64() < disconnectShare {
@@ -95,7 +104,7 @@
 			continue
 		}
 		c.send(s, disconnectAfter)
-		if !s.at.IsZero() {
+		if !s.firstByteAt.IsZero() {
 			log.add(s)
 		}
 		log.mu.Lock() // a disconnect that comes as the request ends may still be recorded
@@ -133,18 +142,26 @@
 // nextRequest draws the n-th request.
 func (c *client) nextRequest(n int) *clientRequest {
 	s := &clientRequest{id: fmt.Sprintf("r%dc%dn%d", c.router, c.number, n), router: c.router, nonIdempotent: c.random.IntN(2) == 0}
+	patient := c.number%patientOneIn == 0
+	s.form = drawForm(c.random, patient)
 	s.firstTokenTimeout = 1500*time.Millisecond + time.Duration(c.random.Int64N(int64(1400*time.Millisecond)))
+	if patient {
+		wait, idEnd := drawPatience(c.random)
+		s.firstTokenTimeout = wait
+		s.id += idEnd
+	}
 	if c.random.Float64() < largeShare {
 		s.promptBytes = minLargePrompt + c.random.IntN(maxLargePrompt-minLargePrompt)
 	}
 	return s
 }
 
-// connect opens a connection if there is none and the router admits new clients.
+// connect opens a connection if there is none that the router keeps open, and the router admits new clients.
 func (c *client) connect() bool {
-	if c.conn != nil {
+	if c.conn != nil && !inbound.PeerClosed(c.conn) {
 		return true
 	}
+	c.close()
 	r := c.harness.routers[c.router]
 	if !r.isAdmitting() {
 		return false
@@ -170,25 +187,56 @@
 	r := c.harness.routers[c.router]
 	s.reusedConn, s.incarnations[0] = c.requestsOnConn > 0, r.currentIncarnation()
 	defer func() { s.ended, s.incarnations[1] = time.Now(), r.currentIncarnation() }()
-	if _, err := io.WriteString(c.conn, c.rawRequest(s)); err != nil {
-		c.close()
-		return
+	goOn, sent := make(chan struct{}), make(chan struct{})
+	head, body := c.rawRequest(s)
+	sender := &requestSender{conn: c.conn, head: head, body: body, form: s.form, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), goOn: goOn}
+	var disconnect *time.Timer
+	go func() {
+		defer close(sent)
+		sender.send()
+		if disconnectAfter > 0 && !sender.lastByteAt.IsZero() {
+			disconnect = c.disconnectLater(s, sender.conn, disconnectAfter)
+		}
+	}()
+	_ = c.conn.SetReadDeadline(time.Now().Add(responseTimeout))
+	asked := sync.OnceFunc(func() { close(goOn) })
+	staysOpen := c.receive(s, asked)
+	answeredAt := time.Now()
+	asked()
+	if !staysOpen {
+		c.close() // which ends what is still being sent
 	}
-	s.at = time.Now()
-	if disconnectAfter > 0 {
-		conn := c.conn
-		defer time.AfterFunc(disconnectAfter, func() {
-			c.harness.requestLog.mu.Lock()
-			s.disconnectedAt = time.Now()
-			c.harness.requestLog.mu.Unlock()
-			conn.Close()
-		}).Stop()
+	<-sent
+	s.firstByteAt, s.at = sender.firstByteAt, sender.lastByteAt
+	if s.at.IsZero() && !s.firstByteAt.IsZero() { // it got its response, or the end of the connection, before that
+		s.at = answeredAt
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(responseTimeout))
+	if disconnect != nil {
+		disconnect.Stop()
+	}
+}
+
+// disconnectLater closes the connection after some time.
+func (c *client) disconnectLater(s *clientRequest, conn net.Conn, after time.Duration) *time.Timer {
+	return time.AfterFunc(after, func() {
+		c.harness.requestLog.mu.Lock()
+		s.disconnectedAt = time.Now()
+		c.harness.requestLog.mu.Unlock()
+		conn.Close()
+	})
+}
+
+// receive reads the response to a request. It calls askedForBody when the router asks for the body, and reports whether the connection
+// stays open.
+func (c *client) receive(s *clientRequest, askedForBody func()) (staysOpen bool) {
 	res, err := http.ReadResponse(c.reader, nil)
+	for err == nil && res.StatusCode == http.StatusContinue {
+		askedForBody()
+		res, err = http.ReadResponse(c.reader, nil)
+	}
 	if err != nil {
-		c.close()
-		return
+		s.endedCleanly = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		return false
 	}
 	s.status, s.answeredAt = res.StatusCode, time.Now()
 	body := io.Reader(res.Body)
@@ -199,8 +247,17 @@
 	s.complete = err == nil
 	c.requestsOnConn++
 	if err != nil || res.Close {
-		c.close()
+		return false
 	}
+	if s.form != followedForm {
+		return true
+	}
+	further, err := http.ReadResponse(c.reader, nil)
+	if s.lostFurther = err != nil; s.lostFurther {
+		return false
+	}
+	_, err = io.Copy(io.Discard, further.Body)
+	return err == nil && !further.Close
 }
 
 // contentField is in each event that holds text.
@@ -228,19 +285,26 @@
 	}
 }
 
-// rawRequest returns the request as written to the wire.
-func (c *client) rawRequest(s *clientRequest) string {
+// rawRequest returns the head and the body of the request as written to the wire.
+func (c *client) rawRequest(s *clientRequest) (head, body string) {
 	class := "draft-reply"
 	if s.nonIdempotent {
 		class = "send-message"
 	}
-	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}]}`,
+	body = fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}]}`,
 		strings.Repeat("x", s.promptBytes), s.id)
 	var request strings.Builder
 	fmt.Fprintf(&request,
 		"POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Type: application/json\r\nX-Txn: %s\r\nX-Lane: %s\r\n", s.id, class)
 	fmt.Fprintf(&request, "X-Entity: %016x\r\nX-Remaining-Ms: %d\r\n", c.number+1, s.firstTokenTimeout.Milliseconds())
-	fmt.Fprintf(&request, "X-Labels: prefix=%016x,prompt_len=40,prefix_len=20,max_out=9\r\nContent-Length: %d\r\n\r\n%s",
-		s.id[1], len(body), body)
-	return request.String()
+	fmt.Fprintf(&request, "X-Labels: prefix=%016x,prompt_len=40,prefix_len=20,max_out=9\r\n", s.id[1])
+	if s.form.expects() {
+		request.WriteString("Expect: 100-continue\r\n")
+	}
+	if s.form.isChunked() {
+		request.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		return request.String(), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	fmt.Fprintf(&request, "Content-Length: %d\r\n\r\n", len(body))
+	return request.String(), body
 }
--- a/internal/scale/soak/schedule.go
+++ b/internal/scale/soak/schedule.go
@@ -89,9 +89,9 @@
 // DefaultPlan returns the plan of a run of some seconds with a few dozen processes or, for some seeds, a handful.
 func DefaultPlan(seed uint64) Plan {
 	if seed%smallEvery == 0 {
-		return Plan{Seed: seed, Routers: 2, Readers: 3, Writers: 2, Length: 9 * time.Second, Faults: 10, Clients: 12}
+		return Plan{Seed: seed, Routers: 2, Readers: 3, Writers: 2, Length: 9 * time.Second, Faults: 10, Clients: 16}
 	}
-	return Plan{Seed: seed, Routers: 4, Readers: 10, Writers: 14, Length: 9 * time.Second, Faults: 26, Clients: 6}
+	return Plan{Seed: seed, Routers: 4, Readers: 10, Writers: 14, Length: 9 * time.Second, Faults: 26, Clients: 8}
 }
 
 // Limits of the faults that are drawn.
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -158,8 +158,13 @@
 		rule    Rule
 		violate func(rec *records)
 	}{
-		"no response":     {RuleAnsweredOnce, func(rec *records) { rec.requests[0].status = 0 }},
-		"a late response": {RuleAnsweredOnce, func(rec *records) { rec.requests[0].status, rec.requests[0].ended = 502, recordTime(1800) }},
+		"no response": {RuleAnsweredOnce, func(rec *records) { rec.requests[0].status = 0 }},
+		"a connection that ends cleanly in the middle of a request": {RuleAnsweredOnce, func(rec *records) {
+			rec.requests[0].status, rec.requests[0].endedCleanly, rec.requests[0].firstByteAt = 0, true, recordTime(-500)
+			rec.eventsByID = nil
+		}},
+		"no response to the request behind": {RuleAnsweredOnce, func(rec *records) { rec.requests[0].lostFurther = true }},
+		"a late response":                   {RuleAnsweredOnce, func(rec *records) { rec.requests[0].status, rec.requests[0].ended = 502, recordTime(1800) }},
 		"a second run of a non-idempotent request": {RuleAtMostOnce, func(rec *records) {
 			rec.withEvents(append(normalEvents(), event{kind: effectRan, id: "a", host: "x", at: recordTime(50)})...)
 		}},
--- a/internal/scale/soak/worker.go
+++ b/internal/scale/soak/worker.go
@@ -148,7 +148,7 @@
 	go gate.handleSignals(signals)
 	r := &ledgerClient{client: client, host: os.Getenv(envHost), incarnation: incarnation}
 	fleet, err := standin.Start(standin.Options{OnlyKind: os.Getenv(envKind), Tokens: responseTokens, TokenInterval: tokenInterval,
-		ReadDuration: readDuration, TokenText: tokenText, StateStore: r, AdmitAttempt: gate.admit, FaultFor: gate.fault,
+		ReadDuration: readDuration, FirstTokenDelay: firstTokenDelay, TokenText: tokenText, StateStore: r, AdmitAttempt: gate.admit, FaultFor: gate.fault,
 		OnAttemptTimeout: func(id, _ string, left time.Duration) { r.call(callDeadline, id, left) },
 		OnEvent: func(what, id, _, _ string) {
 			if what == callArrived || what == callEnded || what == callEffect {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -53,6 +53,9 @@
 	ReadDuration  time.Duration // time that a read takes
 	// TokenText returns the text of the i-th token of a request's answer over HTTP. If it is nil, it is the token's number.
 	TokenText func(id string, i int) string
+	// FirstTokenDelay, if not nil, returns how long a write over HTTP that has taken effect waits for its first token, negative: for
+	// good.
+	FirstTokenDelay func(id string) time.Duration
 	// FaultFor returns the fault of the n-th call, counted from 0, of a stage ("read" or "write") for a message. If it is
 	// nil, there are no faults.
 	FaultFor func(stage, message string, n int) Fault
@@ -387,6 +390,24 @@
 	return true
 }
 
+// awaitFirstToken waits for the first token of a write. It returns false if the caller has gone before.
+func (w *worker) awaitFirstToken(ctx context.Context, id string) bool {
+	if w.fleet.FirstTokenDelay == nil {
+		return true
+	}
+	delay := w.fleet.FirstTokenDelay(id)
+	if delay < 0 {
+		<-ctx.Done()
+		return false
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // ServeHTTP serves the workers' HTTP API.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if id, ok := strings.CutPrefix(r.URL.Path, "/v1/holds/"); ok && r.Method == http.MethodDelete {
@@ -446,6 +467,9 @@
 		resetConnection(rw)
 		return
 	}
+	if !w.awaitFirstToken(r.Context(), c.id) {
+		return
+	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	complete := w.streamTokens(r.Context(), c, func(i int, last bool) error {
 		finish := "null"
