The end of one wait of a lingering connection does not interrupt the next

What callers saw: a last answer that a reset overtakes, on busy routers. Cause: the timer of the first wait for a client to close fires as the wait ends by its read deadline, and interrupted the second wait, which is for the client's acknowledgement: its reads that had to wait for a turn failed, and the connection was closed over unread input. Change: a wait ends once its timer has. Also a test that an interrupted read is not extended by the time that it waited for turns.

--- a/internal/inbound/linger.go
+++ b/internal/inbound/linger.go
@@ -159,7 +159,16 @@
 func (c *lingering) discard(limit time.Duration) {
 	c.client.Interrupt(false)
 	_ = c.SetReadDeadline(time.Now().Add(limit))
-	defer time.AfterFunc(limit, func() { c.client.Interrupt(true) }).Stop()
+	interrupted := make(chan struct{})
+	timer := time.AfterFunc(limit, func() {
+		c.client.Interrupt(true)
+		close(interrupted)
+	})
+	defer func() {
+		if !timer.Stop() { // it must not interrupt what comes next
+			<-interrupted
+		}
+	}()
 	reader := NewReader(c.Conn, c.client)
 	buffer := make([]byte, lingerBuffer)
 	for {
--- /dev/null
+++ b/internal/inbound/linger_test.go
@@ -0,0 +1,68 @@
+package inbound
+
+import (
+	"net"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The end of one wait of a connection that lingers does not interrupt its next wait.
+func TestEndOfOneWaitDoesNotInterruptTheNext(t *testing.T) {
+	const waits, yields = 3000, 50
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	side, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer side.Close()
+	lingers := &lingering{Conn: side, client: NewBudgets(1, 1<<20).NewClient()}
+	for i := range waits {
+		lingers.discard(time.Duration(i%yields) * time.Microsecond)
+		lingers.client.Interrupt(false) // as the next wait does first
+		for range i % yields {
+			runtime.Gosched()
+		}
+		if lingers.client.Interrupted() {
+			t.Fatalf("wait %d: the next one is interrupted", i)
+		}
+	}
+}
+
+// A read that is interrupted ends, also if time is owed for waits for turns.
+func TestInterruptedReadIsNotExtended(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	side, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer side.Close()
+	client := NewBudgets(1, 1<<20).NewClient()
+	reader := NewReader(side, client)
+	reader.waited = time.Minute
+	extended := false
+	reader.Extend = func(time.Duration) { extended = true }
+	client.Interrupt(true)
+	_ = side.SetReadDeadline(time.Unix(1, 0))
+	if _, err := reader.Read(make([]byte, 1)); err == nil || extended {
+		t.Errorf("%v, extended %v", err, extended)
+	}
+}
