--- a/internal/httpfront/deadlineowners_test.go
+++ b/internal/httpfront/deadlineowners_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -155,3 +156,30 @@
 		}
 	})
 }
+
+// What a worker sends before its answer leaves no deadline for the answer: neither a 1xx head nor a head that comes in two parts.
+func TestInterimHeadLeavesNoDeadline(t *testing.T) {
+	const wait = 10 * answerHeadTimeout
+	synctest.Test(t, func(t *testing.T) {
+		worker, side := net.Pipe()
+		conn := &workerConn{Conn: side, openConns: new(atomic.Int64), done: make(chan struct{})}
+		conn.awaitingAnswer.Store(true)
+		go func() {
+			for _, part := range []string{"HTTP/1.1 103 Early Hints\r\n", "\r\n", "HTTP/1.1 200 OK\r\nContent-", "Length: 2\r\n\r\n", "{", "}"} {
+				if strings.HasSuffix(part, "\r\n\r\n") || part == "\r\n" {
+					time.Sleep(answerHeadTimeout - time.Millisecond)
+				} else {
+					time.Sleep(wait)
+				}
+				io.WriteString(worker, part)
+			}
+		}()
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(res.Body); err != nil || string(text) != "{}" {
+			t.Errorf("%q, %v", text, err)
+		}
+	})
+}
