The timer of one standby closes no connection of the next

What callers saw: connections that are closed 0.75 s into a standby in place of 1.5 s, where an earlier standby had ended just before; the periodic close also ran once more for each standby. Cause: the timer of a standby stood for the next one. Change: one timer and its due time; what was set before has no effect. TestTimerOfOneStandbyClosesNoConnectionOfTheNext: closed after 750 ms before, now 1.5 s.

--- a/internal/httpfront/deadlineowners_test.go
+++ b/internal/httpfront/deadlineowners_test.go
@@ -183,3 +183,29 @@
 		}
 	})
 }
+
+// The end of one standby stops its timer: the connections of the next one have their whole time.
+func TestTimerOfOneStandbyClosesNoConnectionOfTheNext(t *testing.T) {
+	const early = standbyCloseDelay / 2
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newFrontWithTarget(t, "worker:1", time.Minute)
+		l := newPipeListener()
+		served := make(chan error, 1)
+		go func() { served <- f.Serve(l, 1) }()
+		f.Standby(true)
+		time.Sleep(early)
+		f.Standby(false)
+		f.Standby(true)
+		c := l.dial()
+		defer c.Close()
+		began := time.Now()
+		_, err := c.Read(make([]byte, 1))
+		if open := time.Since(began); err != io.EOF || open < standbyCloseDelay {
+			t.Errorf("%v after %v in standby", err, open)
+		}
+		f.Standby(false)
+		f.server.Close()
+		<-served
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -80,6 +80,8 @@
 	closing       bool            // Shutdown has begun
 	successor     bool            // Shutdown was called while another process serves at this address
 	ending        bool            // CloseInactive was called, and Shutdown has not returned
+	closeTimer    *time.Timer     // of the next close of inactive connections, nil: there was none
+	closeAt       time.Time       // when that is due
 }
 
 // New returns a Front that passes requests to c. classNames are the names of the classes in the order of their numbers.
--- a/internal/httpfront/lifecycle.go
+++ b/internal/httpfront/lifecycle.go
@@ -35,7 +35,7 @@
 		f.clients.closeAfterAnswers(on)
 	}
 	if on {
-		time.AfterFunc(standbyCloseDelay, f.closeInactive)
+		f.scheduleCloseLocked(standbyCloseDelay)
 	}
 }
 
@@ -43,15 +43,30 @@
 // has been read is refused. It is called during Shutdown, when the core takes no more requests.
 func (f *Front) CloseInactive() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.ending = true
-	f.mu.Unlock()
-	f.closeInactive()
+	f.closeInactiveLocked()
+}
+
+// scheduleCloseLocked has inactive connections closed after some time, in place of any time that was set before.
+func (f *Front) scheduleCloseLocked(after time.Duration) {
+	if f.closeTimer != nil {
+		f.closeTimer.Stop()
+	}
+	f.closeAt = time.Now().Add(after)
+	f.closeTimer = time.AfterFunc(after, f.closeIfDue)
 }
 
-// closeInactive closes the connections without a complete request, repeatedly while the front is in standby or ends.
-func (f *Front) closeInactive() {
+func (f *Front) closeIfDue() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !time.Now().Before(f.closeAt) { // else the timer was for an earlier standby
+		f.closeInactiveLocked()
+	}
+}
+
+// closeInactiveLocked closes the connections without a complete request, repeatedly while the front is in standby or ends.
+func (f *Front) closeInactiveLocked() {
 	inStandby := f.standby && !f.closing
 	if !inStandby && !f.ending {
 		return
@@ -59,7 +74,7 @@
 	if f.clients != nil {
 		f.clients.closeInactive()
 	}
-	time.AfterFunc(closeInactivePeriod, f.closeInactive)
+	f.scheduleCloseLocked(closeInactivePeriod)
 }
 
 // closeAdmission is called when the core's admission ends. Requests that come on unused connections from now on would be refused,
