--- a/internal/httpfront/clientconn.go
+++ b/internal/httpfront/clientconn.go
@@ -156,7 +156,7 @@
 func (c *clientConn) nextInput(p []byte, endsTurn bool) (n int, seenAt time.Time, err error) {
 	c.deadlines.awaitInput(c.awaited())
 	n, seenAt, err = c.input().Next(p, endsTurn)
-	for errors.Is(err, os.ErrDeadlineExceeded) && hasUnreadInput(c.Conn) && c.deadlines.allowLateInput() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.deadlines.allowLateInput() {
 		n, seenAt, err = c.input().Next(p, endsTurn)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/httpfront/clientdeadlines.go
+++ b/internal/httpfront/clientdeadlines.go
@@ -91,13 +91,13 @@
 	d.applyLocked()
 }
 
-// allowLateInput lets input be read that came by the end of its message's time, as this process was late. It returns false if the
-// read that has ended was interrupted, or if this process can't have been that late.
+// allowLateInput lets input be read, if there is any, that came by the end of its message's time, as this process was late. It
+// returns false if the read that has ended was interrupted, or if this process can't have been that late.
 func (d *clientDeadlines) allowLateInput() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if d.ended || d.interrupted || d.due.IsZero() || now.After(d.latest) {
+	if d.ended || d.interrupted || d.due.IsZero() || now.After(d.latest) || !hasUnreadInput(d.conn) {
 		return false
 	}
 	d.due = now.Add(lateInputTime)
--- a/internal/httpfront/clientdeadlines_test.go
+++ b/internal/httpfront/clientdeadlines_test.go
@@ -16,9 +16,9 @@
 	"rowanyard/internal/delivery"
 )
 
-// deadlineRecorder is a connection that records its read deadline.
+// deadlineRecorder is a socket that records its read deadline.
 type deadlineRecorder struct {
-	net.Conn
+	*net.TCPConn
 	read time.Time
 }
 
@@ -38,13 +38,19 @@
 		"an interrupt":        func(d *clientDeadlines) { d.interrupt(true); d.interrupt(false) },
 		"a lasting interrupt": func(d *clientDeadlines) { d.interrupt(true) },
 	}
+	here, there := tcpPair(t)
+	if _, err := io.WriteString(here, "late input"); err != nil {
+		t.Fatal(err)
+	}
+	for !hasUnreadInput(there) {
+	}
 	for name, change := range changes {
 		for _, before := range messages {
 			for _, after := range messages {
 				if before == after {
 					continue
 				}
-				conn := &deadlineRecorder{}
+				conn := &deadlineRecorder{TCPConn: there.(*net.TCPConn)}
 				d := newClientDeadlines(conn)
 				due := func(m inputMessage) time.Time {
 					if m.part == nothingDue {
