Tests of the front and the soak share the forms of requests; shared set-ups of tests

The forms stood twice, in the soak's clients and in the table of the front. internal/scale/requestform holds them; the soak plays 14 of 15 now (HTTP/1.0 is left out, as the end of a killed router's connection would end its answer as whole). Set-ups of streams and of pairs of connections stand once. The table and the tests beside it pass.

--- a/internal/httpfront/clientdeadlines_test.go
+++ b/internal/httpfront/clientdeadlines_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"rowanyard/internal/delivery"
+	"rowanyard/internal/scale/requestform"
 )
 
 // deadlineRecorder is a socket that records its read deadline.
@@ -114,13 +115,18 @@
 		c := l.dial()
 		defer c.Close()
 		in := bufio.NewReader(c)
-		q := virtualRequest{requestForms()["plain"], "long-9000", 16 * time.Second}
-		q.suffix = "GET /health/ready HTTP/1.1\r\n"
-		if res, err := q.answerOf(c, in); err != nil || res.StatusCode != http.StatusOK {
+		q := virtualRequest{requestform.Form{}, "long-9000", 16 * time.Second}
+		go func() {
+			q.send(c, nil)
+			io.WriteString(c, requestform.ReadinessRequest[:30])
+		}()
+		if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != http.StatusOK {
 			t.Fatal(res, err)
+		} else if _, err := io.ReadAll(res.Body); err != nil {
+			t.Fatal(err)
 		}
 		time.Sleep(headTimeout - time.Millisecond)
-		go io.WriteString(c, "Host: x\r\n\r\n")
+		go io.WriteString(c, requestform.ReadinessRequest[30:])
 		if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != http.StatusOK {
 			t.Error(res, err)
 		}
@@ -147,7 +153,7 @@
 
 // Input that came by the end of its time is read, as this process is late, and not what comes long after it.
 func TestLateProcessReadsWhatCameInTime(t *testing.T) {
-	const text = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	const text = requestform.ReadinessRequest
 	for name, isLate := range map[string]bool{"late": true, "too late": false} {
 		here, there := tcpPair(t)
 		if _, err := io.WriteString(here, text); err != nil {
--- a/internal/httpfront/deadlineowners_test.go
+++ b/internal/httpfront/deadlineowners_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"rowanyard/internal/inbound"
+	"rowanyard/internal/scale/requestform"
 )
 
 // hookedReads is a socket that calls a function once, behind a read that has brought something.
@@ -48,18 +49,7 @@
 		"silence as the end comes": {silence, true}, "silence behind the end": {silence, false}} {
 		here, there := tcpPair(t)
 		var behindRead func()
-		conn := &workerConn{Conn: hookedReads{here.(*net.TCPConn), &behindRead}, openConns: new(atomic.Int64), done: make(chan struct{})}
-		conn.awaitingAnswer.Store(true)
-		go io.WriteString(there, chunkedHead+chunk("data: [DONE]\n\n"))
-		in := bufio.NewReader(conn)
-		res, err := http.ReadResponse(in, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s := newStream(res, conn, false)
-		if err := s.readFirstEvent(); err != nil {
-			t.Fatal(err)
-		}
+		conn, in, s := beginStream(t, hookedReads{here.(*net.TCPConn), &behindRead}, there, "data: [DONE]\n\n")
 		if x.asTheEndComes {
 			behindRead = func() { x.cross(s) }
 		}
@@ -116,7 +106,7 @@
 		l, stop := startVirtualFront(t)
 		c := l.dial()
 		defer c.Close()
-		q := virtualRequest{requestForms()["plain"], "slow-0", 16 * time.Second}
+		q := virtualRequest{requestform.Form{}, "slow-0", 16 * time.Second}
 		go q.send(c, nil)
 		in := bufio.NewReaderSize(c, 16)
 		res, err := http.ReadResponse(in, nil)
--- a/internal/httpfront/requestforms_test.go
+++ b/internal/httpfront/requestforms_test.go
@@ -9,11 +9,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rowanyard/internal/scale/requestform"
 )
 
 // pipeListener is a listener whose connections are pipes.
@@ -105,92 +108,39 @@
 	}
 }
 
-// How requests in pieces are sent.
-const (
-	headPieceBytes = 30
-	bodyPieceBytes = 600
-	piecePause     = 100 * time.Millisecond
-)
-
-// requestForm is a form of a request: what its head says of its body, and how the client sends it.
-type requestForm struct {
-	framing   string
-	body      string
-	version   string // of HTTP, empty: 1.1
-	prefix    string // before its head
-	suffix    string // behind its body
-	awaits100 bool   // the client sends the body once it is asked to
-	inPieces  bool   // piecePause apart
-	slowBody  bool   // comes as the body's time is nearly over
-}
-
-var chunkedBody = fmt.Sprintf("%x\r\n%s\r\n%x;extension=1\r\n%s\r\n0\r\n", 9, requestBody[:9], len(requestBody)-9, requestBody[9:])
-
 const (
-	expectLine  = "Expect: 100-continue\r\n"
-	chunkedLine = "Transfer-Encoding: chunked\r\n"
+	pieceBytes = 60 // of a head
+	pieces     = 8  // of a body, at most
+	piecePause = 100 * time.Millisecond
 )
 
-// requestForms returns the forms by their names.
-func requestForms() map[string]requestForm {
-	sized := contentLength(requestBody)
-	return map[string]requestForm{
-		"plain":                    {framing: sized, body: requestBody},
-		"Expect":                   {framing: sized + expectLine, body: requestBody, awaits100: true},
-		"Expect, no wait":          {framing: sized + expectLine, body: requestBody},
-		"chunked":                  {framing: chunkedLine, body: chunkedBody + "\r\n"},
-		"trailer":                  {framing: chunkedLine + "Trailer: X-T\r\n", body: chunkedBody + "X-T: 1\r\n\r\n"},
-		"Expect and chunked":       {framing: chunkedLine + expectLine, body: chunkedBody + "\r\n", awaits100: true},
-		"Connection: close":        {framing: sized + "Connection: close\r\n", body: requestBody},
-		"in pieces":                {framing: sized, body: requestBody, inPieces: true},
-		"Expect in pieces":         {framing: sized + expectLine, body: requestBody, inPieces: true, awaits100: true},
-		"chunked in pieces":        {framing: chunkedLine, body: chunkedBody + "\r\n", inPieces: true},
-		"slow body":                {framing: sized, body: requestBody, slowBody: true},
-		"Expect and slow body":     {framing: sized + expectLine, body: requestBody, awaits100: true, slowBody: true},
-		"HTTP/1.0":                 {framing: sized, body: requestBody, version: "1.0"},
-		"behind an empty line":     {framing: sized, body: requestBody, prefix: "\r\n"},
-		"before a further request": {framing: sized, body: requestBody, suffix: "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"},
+// inPieces divides a text.
+func inPieces(text string) (all []string) {
+	size := max(pieceBytes, (len(text)+pieces-1)/pieces)
+	for part := range slices.Chunk([]byte(text), size) {
+		all = append(all, string(part))
 	}
+	return all
 }
 
-// virtualRequest is one request of a form on a connection.
+// virtualRequest is one request of a form.
 type virtualRequest struct {
-	requestForm
+	form     requestform.Form
 	id       string
 	timeLeft time.Duration
 }
 
-func (q virtualRequest) head() string {
-	text := requestText(q.id, q.framing, "")
-	text = strings.Replace(text, "X-Remaining-Ms: 4800", fmt.Sprint("X-Remaining-Ms: ", q.timeLeft.Milliseconds()), 1)
-	if q.version != "" {
-		text = strings.Replace(text, "HTTP/1.1", "HTTP/"+q.version, 1)
-	}
-	return q.prefix + text
-}
-
 // send sends the request. goOn is closed when the client is asked for the body.
 func (q virtualRequest) send(c net.Conn, goOn <-chan struct{}) {
-	q.sendPart(c, q.head(), headPieceBytes)
-	if q.awaits100 {
-		<-goOn
-	}
-	body := q.body
-	if q.slowBody {
-		io.WriteString(c, body[:len(body)/2])
-		time.Sleep(bodyTimeout - piecePause)
-		body = body[len(body)/2:]
-	}
-	q.sendPart(c, body+q.suffix, bodyPieceBytes)
-}
-
-func (q virtualRequest) sendPart(c net.Conn, text string, pieceBytes int) {
-	for q.inPieces && len(text) > pieceBytes {
-		io.WriteString(c, text[:pieceBytes])
-		text = text[pieceBytes:]
-		time.Sleep(piecePause)
-	}
-	io.WriteString(c, text)
+	header := requestHeader()
+	header.Set(headerTxn, q.id)
+	header.Set(headerRemaining, fmt.Sprint(q.timeLeft.Milliseconds()))
+	var fields strings.Builder
+	header.Write(&fields)
+	head, body := q.form.Text(PathChat, fields.String(), requestBody)
+	sender := requestform.Sender{Conn: c, Form: q.form, Head: head, Body: body, Divide: inPieces, Pause: func() time.Duration { return piecePause },
+		SlowPause: bodyTimeout - piecePause}
+	sender.Send(goOn)
 }
 
 // answerOf sends the request and returns the final answer, whose body was read to its end.
@@ -236,7 +186,7 @@
 	if state == onNewConn {
 		return c, in
 	}
-	go io.WriteString(c, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	go io.WriteString(c, requestform.ReadinessRequest)
 	if _, err := http.ReadResponse(in, nil); err != nil {
 		t.Error(err)
 	}
@@ -250,8 +200,8 @@
 // whatever its form and its age.
 func TestRequestsOfEveryFormAreAnsweredAtAnyAge(t *testing.T) {
 	ages := []string{"0", "1000", "2600", "3100", "4900", "10100", "11500", "never"}
-	for name, form := range requestForms() {
-		t.Run(name, func(t *testing.T) {
+	for _, form := range requestform.All() {
+		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				l, stop := startVirtualFront(t)
--- a/internal/httpfront/stall_test.go
+++ b/internal/httpfront/stall_test.go
@@ -264,6 +264,24 @@
 	}
 }
 
+// beginStream returns a stream whose first event was read, with its worker's connection and what reads the answers from it.
+func beginStream(t *testing.T, here, there net.Conn, event string) (*workerConn, *bufio.Reader, *stream) {
+	t.Helper()
+	conn := &workerConn{Conn: here, openConns: new(atomic.Int64), done: make(chan struct{})}
+	conn.awaitingAnswer.Store(true)
+	go io.WriteString(there, chunkedHead+chunk(event))
+	in := bufio.NewReader(conn)
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newStream(res, conn, false)
+	if err := s.readFirstEvent(); err != nil {
+		t.Fatal(err)
+	}
+	return conn, in, s
+}
+
 // Where this process is late, a stream is judged behind what has come meanwhile, and the connection behind it serves on.
 func TestLateProcessJudgesStreamBehindItsInput(t *testing.T) {
 	const event = "data: {}\n\n"
@@ -273,18 +291,7 @@
 	}{"an event": {chunk(event), false}, "the end": {bodyEnd, false}, "a comment": {chunk(": ping\n\n"), true}, "nothing": {"", true},
 		"a trailer without its end": {"0\r\nX-Trailer: x", true}, "a chunk without its size": {"1;x", true}} {
 		here, there := tcpPair(t)
-		conn := &workerConn{Conn: here, openConns: new(atomic.Int64), done: make(chan struct{})}
-		conn.awaitingAnswer.Store(true)
-		go io.WriteString(there, chunkedHead+chunk(event))
-		in := bufio.NewReader(conn)
-		res, err := http.ReadResponse(in, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s := newStream(res, conn, false)
-		if err := s.readFirstEvent(); err != nil {
-			t.Fatal(err)
-		}
+		conn, in, s := beginStream(t, here, there, event)
 		if _, err := s.Read(make([]byte, len(event))); err != nil {
 			t.Fatal(err)
 		}
@@ -297,7 +304,7 @@
 		s.silence.begin(StreamStallTimeout)
 		s.silence.timer.Stop()
 		s.silence.wakeIfOverdue() // once
-		_, err = s.readWatched(make([]byte, len(event)))
+		_, err := s.readWatched(make([]byte, len(event)))
 		if ended := errors.Is(err, errNoEvents); ended != c.ends {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/inbound/linger_test.go
+++ b/internal/inbound/linger_test.go
@@ -7,24 +7,28 @@
 	"time"
 )
 
-// The end of one wait of a connection that lingers does not interrupt its next wait.
-func TestEndOfOneWaitDoesNotInterruptTheNext(t *testing.T) {
-	const waits, yields = 3000, 50
+// tcpPair returns both sides of a connection.
+func tcpPair(t *testing.T) (peer, side net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	peer, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if peer, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer peer.Close()
-	side, err := l.Accept()
-	if err != nil {
+	if side, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer side.Close()
+	t.Cleanup(func() { peer.Close(); side.Close() })
+	return peer, side
+}
+
+// The end of one wait of a connection that lingers does not interrupt its next wait.
+func TestEndOfOneWaitDoesNotInterruptTheNext(t *testing.T) {
+	const waits, yields = 3000, 50
+	_, side := tcpPair(t)
 	lingers := &lingering{Conn: side, client: NewBudgets(1, 1<<20).NewClient()}
 	for i := range waits {
 		lingers.discard(time.Duration(i%yields) * time.Microsecond)
@@ -40,21 +44,7 @@
 
 // A read that is interrupted ends, also if time is owed for waits for turns.
 func TestInterruptedReadIsNotExtended(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	peer, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	side, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer side.Close()
+	_, side := tcpPair(t)
 	client := NewBudgets(1, 1<<20).NewClient()
 	reader := NewReader(side, client)
 	reader.waited = time.Minute
--- a/internal/inbound/work_test.go
+++ b/internal/inbound/work_test.go
@@ -120,21 +120,7 @@
 
 // Input that waits for its turn is not held against its sender: the time does not count against the connection's deadline.
 func TestWaitForATurnIsNoSilence(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	sender, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer sender.Close()
-	conn, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	sender, conn := tcpPair(t)
 	w := NewWork(1)
 	reader := NewReader(conn, w.NewClient())
 	sender.Write([]byte("a"))
--- a/internal/scale/soak/client.go
+++ b/internal/scale/soak/client.go
@@ -13,7 +13,9 @@
 	"sync"
 	"time"
 
+	"rowanyard/internal/httpfront"
 	"rowanyard/internal/inbound"
+	"rowanyard/internal/scale/requestform"
 )
 
 // clientRequest is one request as its client saw it.
@@ -21,7 +23,7 @@
 	id                string
 	router            int
 	nonIdempotent     bool
-	form              requestForm
+	form              requestform.Form
 	firstByteAt       time.Time     // when its first byte was written
 	at                time.Time     // when its last byte was written
 	endedCleanly      bool          // the connection was not reset as it ended without a response
@@ -189,13 +191,14 @@
 	defer func() { s.ended, s.incarnations[1] = time.Now(), r.currentIncarnation() }()
 	goOn, sent := make(chan struct{}), make(chan struct{})
 	head, body := c.rawRequest(s)
-	sender := &requestSender{conn: c.conn, head: head, body: body, form: s.form, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), goOn: goOn}
+	conn := c.conn
+	sender := newSender(rand.New(rand.NewPCG(c.random.Uint64(), 0)), conn, s, head, body)
 	var disconnect *time.Timer
 	go func() {
 		defer close(sent)
-		sender.send()
-		if disconnectAfter > 0 && !sender.lastByteAt.IsZero() {
-			disconnect = c.disconnectLater(s, sender.conn, disconnectAfter)
+		sender.Send(goOn)
+		if disconnectAfter > 0 && !sender.LastByteAt.IsZero() {
+			disconnect = c.disconnectLater(s, conn, disconnectAfter)
 		}
 	}()
 	_ = c.conn.SetReadDeadline(time.Now().Add(responseTimeout))
@@ -207,7 +210,7 @@
 		c.close() // which ends what is still being sent
 	}
 	<-sent
-	s.firstByteAt, s.at = sender.firstByteAt, sender.lastByteAt
+	s.firstByteAt, s.at = sender.FirstByteAt, sender.LastByteAt
 	if s.at.IsZero() && !s.firstByteAt.IsZero() { // it got its response, or the end of the connection, before that
 		s.at = answeredAt
 	}
@@ -249,7 +252,7 @@
 	if err != nil || res.Close {
 		return false
 	}
-	if s.form != followedForm {
+	if !s.form.Followed {
 		return true
 	}
 	further, err := http.ReadResponse(c.reader, nil)
@@ -291,20 +294,9 @@
 	if s.nonIdempotent {
 		class = "send-message"
 	}
-	body = fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}]}`,
+	content := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":9,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"%s"}]}`,
 		strings.Repeat("x", s.promptBytes), s.id)
-	var request strings.Builder
-	fmt.Fprintf(&request,
-		"POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nContent-Type: application/json\r\nX-Txn: %s\r\nX-Lane: %s\r\n", s.id, class)
-	fmt.Fprintf(&request, "X-Entity: %016x\r\nX-Remaining-Ms: %d\r\n", c.number+1, s.firstTokenTimeout.Milliseconds())
-	fmt.Fprintf(&request, "X-Labels: prefix=%016x,prompt_len=40,prefix_len=20,max_out=9\r\n", s.id[1])
-	if s.form.expects() {
-		request.WriteString("Expect: 100-continue\r\n")
-	}
-	if s.form.isChunked() {
-		request.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		return request.String(), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-	}
-	fmt.Fprintf(&request, "Content-Length: %d\r\n\r\n", len(body))
-	return request.String(), body
+	fields := fmt.Sprintf("Content-Type: application/json\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Entity: %016x\r\nX-Remaining-Ms: %d\r\n"+
+		"X-Labels: prefix=%016x,prompt_len=40,prefix_len=20,max_out=9\r\n", s.id, class, c.number+1, s.firstTokenTimeout.Milliseconds(), s.id[1])
+	return s.form.Text(httpfront.PathChat, fields, content)
 }
