The soak finds valid requests that are called invalid, and crosses the end of rests with heads

A 4xx but 429 to a request that came in full within 1.8 s is a violation now, and half of the requests on rested connections come with their head in pieces.

--- a/internal/scale/soak/checks.go
+++ b/internal/scale/soak/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -41,9 +42,10 @@
 	idleHoldSlack       = 350 * time.Millisecond // 0.3 s for the router's own limits and 0.05 s for sockets
 	drainGrace          = 550 * time.Millisecond
 	disconnectGrace     = 100 * time.Millisecond
-	endGrace            = 100 * time.Millisecond // for a request that is on its way as it ends
-	smallRequestSlack   = time.Second            // for one that fits into the buffers of busy proxies and workers
-	clientPatience      = 5 * time.Second        // after the last event
+	endGrace            = 100 * time.Millisecond  // for a request that is on its way as it ends
+	smallRequestSlack   = time.Second             // for one that fits into the buffers of busy proxies and workers
+	clientPatience      = 5 * time.Second         // after the last event
+	inTimeSpan          = 1800 * time.Millisecond // in which a request that came in full was no slow one
 	deadlineSlack       = 150 * time.Millisecond
 	discoveryDelayLimit = 6 * time.Second // a router must have received a change after this, whatever state discovery is in
 	moveTime            = 4 * time.Second // after SIGHUP, what the new agent has counts as told
@@ -229,6 +231,10 @@
 				Message: fmt.Sprintf("%s answered with status %d after %v, allowed were %v", s.id, s.status, s.ended.Sub(s.at),
 					s.firstTokenTimeout), RequestID: s.id})
 		}
+		if s.status/100 == 4 && s.status != http.StatusTooManyRequests && s.at.Sub(s.firstByteAt) < inTimeSpan {
+			found = append(found, Violation{Rule: RuleAnsweredOnce,
+				Message: fmt.Sprintf("%s (%s) answered with status %d although nothing is wrong with it", s.id, s.form.Name, s.status), RequestID: s.id})
+		}
 		if s.lostFurther && rec.exitExcuse(s, true) == "" {
 			found = append(found, Violation{Rule: RuleAnsweredOnce,
 				Message: fmt.Sprintf("the request behind %s at n%d has no response", s.id, s.router), RequestID: s.id})
--- a/internal/scale/soak/client.go
+++ b/internal/scale/soak/client.go
@@ -93,10 +93,11 @@
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
 		thinkTime := time.Duration(c.random.Int64N(int64(2 * meanThinkTime)))
+		s := c.nextRequest(n)
 		if c.random.Float64() < restShare {
 			thinkTime = minRest + time.Duration(c.random.Int64N(int64(maxRest-minRest)))
+			s.form.HeadInPieces = c.random.IntN(2) == 0 // so that its head crosses the end of the rest
 		}
-		s := c.nextRequest(n)
 		disconnectAfter := time.Duration(0)
 		if c.random.Float64() < disconnectShare {
 			disconnectAfter = time.Duration(1 + c.random.Int64N(int64(400*time.Millisecond)))
--- a/internal/scale/soak/forms.go
+++ b/internal/scale/soak/forms.go
@@ -17,7 +17,7 @@
 // Behavior of the clients where forms and waits matter.
 const (
 	plainShare      = 0.5 // of the requests of impatient clients
-	restShare       = 0.03
+	restShare       = 0.06
 	minRest         = 2 * time.Second // about as long as a router keeps a connection on which nothing comes
 	maxRest         = 2700 * time.Millisecond
 	maxPieces       = 6
--- a/internal/scale/soak/soak_test.go
+++ b/internal/scale/soak/soak_test.go
@@ -163,6 +163,9 @@
 			rec.requests[0].status, rec.requests[0].endedCleanly, rec.requests[0].firstByteAt = 0, true, recordTime(-500)
 			rec.eventsByID = nil
 		}},
+		"a valid request that is called invalid": {RuleAnsweredOnce, func(rec *records) {
+			rec.requests[0].status, rec.requests[0].firstByteAt = 408, recordTime(-500)
+		}},
 		"no response to the request behind": {RuleAnsweredOnce, func(rec *records) { rec.requests[0].lostFurther = true }},
 		"a late response":                   {RuleAnsweredOnce, func(rec *records) { rec.requests[0].status, rec.requests[0].ended = 502, recordTime(1800) }},
 		"a second run of a non-idempotent request": {RuleAtMostOnce, func(rec *records) {
